Keep connections between entry VMs that answer, and drop dials to former addresses

Giving up a unit made its connection suspect and dialled a fresh one at once, which replaced the old one even if that answered the ping meanwhile: units that ran over it ended as unknown (TestAbandonedUnit). And a dial in progress while the platform's list changed the VM's address became the connection of the new address, past whatever stands before that (inferred cause of TestConfigCutOffDataCentre).

Change: a suspect connection is replaced only after it has been silent for silentAfter since the request that makes it suspect, the rule that the watch of unanswered requests has; a dial to a former address is closed when it is done, and requests to the new address start their own. TestAbandonedUnit releases its executor when it fails, so that it ends.

--- a/pkg/peer/limits_test.go
+++ b/pkg/peer/limits_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"math/big"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -147,6 +148,8 @@
 func TestAbandonedUnit(t *testing.T) {
 	tx := unit.TxRef{VM: "owner", Member: "m", ID: 3}
 	release := make(chan struct{})
+	released := sync.OnceFunc(func() { close(release) })
+	defer released() // the server's end waits for the unit
 	e := newExecutor(func(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result {
 		if u.Tx.Open() {
 			<-release // ignores its deadline
@@ -167,7 +170,7 @@
 	require.Equal(t, errkind.OutcomeDone, res.Outcome)
 	require.Equal(t, "next", got.String())
 	require.Empty(t, e.rolled)
-	close(release)
+	released()
 	select {
 	case got := <-e.rolled:
 		require.Equal(t, tx, got)
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -98,7 +98,7 @@
 			if c != nil {
 				go c.close(ErrGone)
 			}
-			s.conns[i] = nil
+			s.conns[i], s.dialing[i] = nil, nil // a dial in progress goes to the former address
 		}
 	}
 	s.vm = vm
@@ -190,12 +190,20 @@
 	l, err := dialLink(p.ctx, &p.opts, vm, purpose)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dialing[i] = nil
 	defer close(d.done)
+	current := s.dialing[i] == d
+	if current {
+		s.dialing[i] = nil
+	}
 	if err != nil {
 		d.err = err
 		return
 	}
+	if !current { // the VM's address has changed since
+		_ = l.nc.Close()
+		d.err = ErrGone
+		return
+	}
 	c := newClientConn(l, p, s)
 	if !p.start(c.read) {
 		c.close(ErrClosed)
--- /dev/null
+++ b/pkg/peer/renew_test.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
+)
+
+// Guards against a unit that ends with a healthy connection, which was replaced since an earlier unit over it had been
+// given up: a connection that answers a ping is kept.
+func TestConnectionThatAnswersIsKept(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	owner, _, _ := serve(t, newExecutor(func(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result {
+		close(started)
+		<-release
+		return echo(ctx, u, sink)
+	}))
+	pool := newTestPool(t)
+	results := make(chan unit.Result, 1)
+	go func() {
+		results <- pool.Execute(within(t, waitLimit), owner, &unit.Unit{Write: true, Messages: []byte("next")}, &buffer{})
+	}()
+	<-started
+	c, err := pool.get(within(t, waitLimit), owner, wire.PurposeData)
+	require.NoError(t, err)
+	before := c.lastReceived.Load()
+	pool.suspect(c, int64(monotonic()+waitLimit)) // ample time to answer, also on a busy machine
+	require.Eventually(t, func() bool {
+		return c.lastReceived.Load() > before && !c.suspected.Load() || pool.Stats().Renewed.Load() > 0
+	}, waitLimit, time.Millisecond)
+	close(release)
+	res := <-results
+	require.Equal(t, errkind.OutcomeDone, res.Outcome, "%v", res.Err)
+	require.Zero(t, pool.Stats().Renewed.Load())
+}
+
+// Guards against a dial to a VM's former address that becomes its connection after the address has changed: what the
+// platform's list names for a VM would not hold until that connection ends.
+func TestDialOfFormerAddressIsDropped(t *testing.T) {
+	owner, px, _ := serve(t, newExecutor(echo))
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer held.Close()
+	pool := newTestPool(t)
+	former := owner
+	former.PeerAddr = held.Addr().String()
+	first := make(chan error, 1)
+	go func() {
+		_, err := pool.get(within(t, waitLimit), former, wire.PurposeData)
+		first <- err
+	}()
+	in, err := held.Accept()
+	require.NoError(t, err)
+	now, err := pool.get(within(t, waitLimit), owner, wire.PurposeData)
+	require.NoError(t, err)
+	out, err := net.Dial("tcp", px.target)
+	require.NoError(t, err)
+	go pump(in, out, newGate())
+	go pump(out, in, newGate())
+	require.Error(t, <-first)
+	later, err := pool.get(within(t, waitLimit), owner, wire.PurposeData)
+	require.NoError(t, err)
+	require.Same(t, now, later)
+	require.Equal(t, owner.PeerAddr, later.nc.RemoteAddr().String())
+}
--- a/pkg/peer/silence.go
+++ b/pkg/peer/silence.go
@@ -58,8 +58,8 @@
 	p.start(func() { _ = c.sendEmpty(wire.TypePing) })
 }
 
-// suspect dials a fresh connection in place of one that has received nothing since the given monotonic time, and pings the
-// silent one. When the fresh one answers, it replaces the silent one; when both fail, the VM counts as gone and the
+// suspect pings a connection that has received nothing since the given monotonic time. If it stays silent for silentAfter
+// since then, a fresh one is dialled and replaces it when it answers; when both fail, the VM counts as gone and the
 // connection ends. A failed dial alone does not end it: transactions are open over it.
 func (p *Pool) suspect(c *clientConn, since int64) {
 	if c.lastReceived.Load() > since+int64(time.Millisecond) && c.silentFor(since) < silentAfter {
@@ -72,10 +72,16 @@
 	p.start(func() {
 		asked := int64(monotonic())
 		p.ping(c)
+		// A unit that was given up early says little about the connection, and other units may run over it: it gets the
+		// time that any request has to answer the ping.
+		if c.receivedUntil(asked, time.Duration(since)+silentAfter) {
+			c.suspected.Store(false)
+			return
+		}
 		if _, err := p.renew(p.ctx, c.slot, c); err == nil {
 			return
 		}
-		if !c.receivedSince(asked) {
+		if !c.receivedUntil(asked, time.Duration(asked)+silentAfter) {
 			c.close(ErrGone)
 			return
 		}
@@ -83,13 +89,13 @@
 	})
 }
 
-// receivedSince waits until something has been received after the monotonic time, until silentAfter has passed since,
-// or until the connection has ended, and reports the first.
-func (c *clientConn) receivedSince(at int64) bool {
+// receivedUntil waits until something has been received after the monotonic time at, until the monotonic time limit, or
+// until the connection has ended, and reports the first.
+func (c *clientConn) receivedUntil(at int64, limit time.Duration) bool {
 	t := time.NewTicker(pingAfter / 10)
 	defer t.Stop()
 	for c.lastReceived.Load() <= at {
-		if monotonic()-time.Duration(at) > silentAfter {
+		if monotonic() > limit {
 			return false
 		}
 		select {
