--- /dev/null
+++ b/pkg/connpool/connpool.go
@@ -0,0 +1,368 @@
+// Package connpool keeps the connections to one member for endpoint protocols that package backend does not speak. It
+// pins a connection to each open transaction and never reuses one in mid-answer. It knows no protocol: connections are
+// made by Options.Dial.
+package connpool
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
+)
+
+// rollbackTimeout bounds the rollback of an abandoned transaction; after it the connection is closed instead.
+const rollbackTimeout = time.Second
+
+// busyPause is the time between attempts to connect to a member that has reached its connection limit. Another owner's
+// connections are closed within owner.sweepInterval.
+const busyPause = 20 * time.Millisecond
+
+// Conn is one connection to the member. The pool runs at most one call at a time.
+type Conn interface {
+	// Run runs one unit and passes its complete answer to sink. Its result's TxStatus tells whether a transaction is open.
+	Run(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result
+	// Rollback ends the open transaction.
+	Rollback(ctx context.Context) error
+	// Usable reports whether the connection can run another unit: no answer is outstanding and the member has not closed it.
+	Usable() bool
+	Close()
+}
+
+// Options configure a Pool.
+type Options struct {
+	Member         string // for messages
+	MaxConnections int
+	// Dial opens a connection. An error of kind TooManyConnection means that the member has reached its limit.
+	Dial func(ctx context.Context) (Conn, error)
+	// Admit is called when a unit has its connection, right before the unit is sent. After an error it is not run.
+	Admit func(u *unit.Unit) error
+	Log   logrus.FieldLogger
+}
+
+// Pool holds the connections to one member.
+type Pool struct {
+	o Options
+
+	mu      sync.Mutex
+	idle    []Conn             // guarded by mu; the last one was used last
+	open    int                // guarded by mu; connections open or being dialled
+	waiters []chan Conn        // guarded by mu; nil on a channel means permission to dial
+	tx      map[uint64]*pinned // guarded by mu; by transaction id
+	nextTx  uint64             // guarded by mu
+	moved   bool               // guarded by mu; another VM owns the member
+	closed  bool               // guarded by mu
+}
+
+// pinned is the connection of an open transaction.
+type pinned struct {
+	conn   Conn
+	busy   bool // a unit runs
+	doomed bool // to be rolled back when the unit has ended
+}
+
+// New returns a pool without connections; they are opened on demand.
+func New(o Options) *Pool {
+	if o.Admit == nil {
+		o.Admit = func(*unit.Unit) error { return nil }
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	o.MaxConnections = max(o.MaxConnections, 1)
+	return &Pool{o: o, tx: map[uint64]*pinned{}, nextTx: randomStart()}
+}
+
+// randomStart returns the first transaction id. Ids of a restarted process must not name transactions of its
+// predecessor, whose callers may still refer to them.
+func randomStart() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])>>1 | 1
+}
+
+// Run runs one unit on the connection of its transaction or on any connection.
+func (p *Pool) Run(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result {
+	if u.Tx.Open() {
+		return p.runInTransaction(ctx, u, sink)
+	}
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return unit.NotRun(err)
+	}
+	if err := p.o.Admit(u); err != nil {
+		p.release(c)
+		return unit.NotRun(err)
+	}
+	res := c.Run(ctx, u, sink)
+	if res.TxStatus == 'I' || !c.Usable() {
+		p.release(c)
+		res.TxStatus, res.Tx = 'I', unit.TxRef{}
+		return res
+	}
+	res.Tx = p.pin(c)
+	return res
+}
+
+func (p *Pool) pin(c Conn) unit.TxRef {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextTx++
+	p.tx[p.nextTx] = &pinned{conn: c}
+	return unit.TxRef{Member: p.o.Member, ID: p.nextTx}
+}
+
+func (p *Pool) runInTransaction(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result {
+	t, err := p.enter(u.Tx.ID)
+	if err != nil {
+		return unit.NotRun(err)
+	}
+	res := t.conn.Run(ctx, u, sink)
+	p.mu.Lock()
+	t.busy = false
+	over := res.TxStatus == 'I' || !t.conn.Usable()
+	doomed := t.doomed || p.closed && !over
+	if over || doomed {
+		delete(p.tx, u.Tx.ID)
+	}
+	p.mu.Unlock()
+	switch {
+	case over:
+		p.release(t.conn)
+	case doomed:
+		go p.rollback(t.conn)
+	default:
+		res.Tx = u.Tx
+		return res
+	}
+	res.TxStatus, res.Tx = 'I', unit.TxRef{}
+	return res
+}
+
+// enter marks the transaction as running a unit.
+func (p *Pool) enter(id uint64) (*pinned, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.tx[id]
+	switch {
+	case t == nil:
+		return nil, errkind.New(errkind.TransactionLost, "transaction %d is not open on %s", id, p.o.Member)
+	case t.busy:
+		return nil, errkind.New(errkind.Protocol, "transaction %d already runs a unit", id)
+	}
+	t.busy = true
+	return t, nil
+}
+
+// Rollback ends an open transaction whose caller has gone. It does not wait for the member.
+func (p *Pool) Rollback(id uint64) {
+	p.mu.Lock()
+	t := p.tx[id]
+	if t == nil || t.busy {
+		if t != nil {
+			t.doomed = true
+		}
+		p.mu.Unlock()
+		return
+	}
+	delete(p.tx, id)
+	p.mu.Unlock()
+	go p.rollback(t.conn)
+}
+
+func (p *Pool) rollback(c Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
+	defer cancel()
+	if err := c.Rollback(ctx); err != nil {
+		p.o.Log.WithError(err).WithField("member", p.o.Member).Info("rollback failed; closing the connection, which rolls back")
+		c.Close()
+	}
+	p.release(c)
+}
+
+// acquire returns a connection. It fails only with errors that mean that the unit did not run.
+func (p *Pool) acquire(ctx context.Context) (Conn, error) {
+	for {
+		c, err := p.take(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			if c, err = p.dial(ctx); err != nil {
+				return nil, err
+			}
+		}
+		if c == nil {
+			continue // the member was at its limit
+		}
+		if c.Usable() {
+			return c, nil
+		}
+		p.discard(c)
+	}
+}
+
+// take returns an idle connection, or nil with the permission to dial, and waits for either.
+func (p *Pool) take(ctx context.Context) (Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, errkind.New(errkind.NoMember, "connection pool of %s is closed", p.o.Member)
+	}
+	if n := len(p.idle) - 1; n >= 0 {
+		c := p.idle[n]
+		p.idle[n], p.idle = nil, p.idle[:n]
+		p.mu.Unlock()
+		return c, nil
+	}
+	if p.open < p.o.MaxConnections {
+		p.open++
+		p.mu.Unlock()
+		return nil, nil
+	}
+	w := make(chan Conn, 1)
+	p.waiters = append(p.waiters, w)
+	p.mu.Unlock()
+	select {
+	case c := <-w:
+		return c, nil
+	case <-ctx.Done():
+		p.leave(w)
+		return nil, errkind.New(errkind.Deadline, "all %d connections to %s are in use", p.o.MaxConnections, p.o.Member)
+	}
+}
+
+// leave gives up a wait. A connection that was handed over at the same moment is passed on.
+func (p *Pool) leave(w chan Conn) {
+	p.mu.Lock()
+	for i, x := range p.waiters {
+		if x == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mu.Unlock()
+			return
+		}
+	}
+	p.mu.Unlock()
+	if c := <-w; c != nil {
+		p.release(c)
+		return
+	}
+	p.free()
+}
+
+// dial opens a connection for which p.open has been raised. It returns nil without an error after a pause when the member
+// has reached its limit and this VM owns it.
+func (p *Pool) dial(ctx context.Context) (Conn, error) {
+	c, err := p.o.Dial(ctx)
+	if err == nil {
+		return c, nil
+	}
+	p.free()
+	if !errkind.Is(err, errkind.TooManyConnection) || p.hasMoved() {
+		return nil, err
+	}
+	select {
+	case <-time.After(busyPause):
+		return nil, nil
+	case <-ctx.Done():
+		return nil, err
+	}
+}
+
+// release makes a connection available again, or closes it when it cannot be reused.
+func (p *Pool) release(c Conn) {
+	if !c.Usable() {
+		p.discard(c)
+		return
+	}
+	p.mu.Lock()
+	switch {
+	case len(p.waiters) > 0:
+		w := p.waiters[0]
+		p.waiters = append(p.waiters[:0], p.waiters[1:]...)
+		p.mu.Unlock()
+		w <- c
+		return
+	case p.closed || p.moved:
+		p.mu.Unlock()
+		p.discard(c)
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+// discard closes a connection that the caller holds.
+func (p *Pool) discard(c Conn) {
+	c.Close()
+	p.free()
+}
+
+// free lowers the number of open connections, or passes the permission to dial to a waiter.
+func (p *Pool) free() {
+	p.mu.Lock()
+	if len(p.waiters) == 0 {
+		p.open--
+		p.mu.Unlock()
+		return
+	}
+	w := p.waiters[0]
+	p.waiters = append(p.waiters[:0], p.waiters[1:]...)
+	p.mu.Unlock()
+	w <- nil
+}
+
+func (p *Pool) hasMoved() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.moved
+}
+
+// SetOwned tells the pool whether this VM owns the member. Without it the pool closes connections that nobody uses, since
+// the new owner needs them.
+func (p *Pool) SetOwned(owned bool) {
+	p.mu.Lock()
+	p.moved = !owned
+	var drop []Conn
+	if p.moved {
+		drop, p.idle = p.idle, nil
+	}
+	p.mu.Unlock()
+	for _, c := range drop {
+		p.discard(c)
+	}
+}
+
+// Waiting returns the number of units that wait for a connection.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters)
+}
+
+// Close closes idle connections and makes the pool refuse units. Open transactions are rolled back; units in progress
+// finish.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	drop := p.idle
+	p.idle = nil
+	var open []Conn
+	for id, t := range p.tx {
+		if t.busy {
+			t.doomed = true
+			continue
+		}
+		delete(p.tx, id)
+		open = append(open, t.conn)
+	}
+	p.mu.Unlock()
+	for _, c := range append(drop, open...) {
+		p.discard(c) // the member rolls back what is open
+	}
+}
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -15,7 +15,6 @@
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/owner"
-	"github.com/sycamorehub/sycamorehub/pkg/platform/httpapi"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
 )
@@ -33,7 +32,7 @@
 		return nil, err
 	}
 	cfg := kernel.Need[*configsync.Sync](k, nameConfig)
-	client := kernel.Need[*httpapi.Client](k, namePlatform)
+	client := kernel.Need[Platform](k, namePlatform)
 	log := logger(k, nameAdmin)
 	return admin.New(admin.Options{
 		Addr: s.Listen.Admin, Token: token, PProf: s.Admin.PProf, Log: log, Checks: checks(k, cfg),
--- a/pkg/daemon/config.go
+++ b/pkg/daemon/config.go
@@ -10,14 +10,13 @@
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
-	"github.com/sycamorehub/sycamorehub/pkg/platform/httpapi"
 )
 
 func newConfig(k *kernel.Kernel) (any, error) {
 	view := kernel.Need[*membership.View](k, nameMembership)
 	recorder := kernel.Need[*burn.Recorder](k, nameBurn)
 	return configsync.New(configsync.Options{
-		Store: kernel.Need[*httpapi.Client](k, namePlatform), Peers: kernel.Need[*peers](k, namePeers).Pool,
+		Store: kernel.Need[Platform](k, namePlatform), Peers: kernel.Need[*peers](k, namePeers).Pool,
 		Membership: view, Log: logger(k, nameConfig),
 		OnInstall: func(doc *clusterconfig.Document) { recorder.Configure(burnClasses(doc)) },
 		Announce:  view.Announce,
@@ -26,11 +25,18 @@
 
 // classesInForce returns the classes for the front end, nil while the daemon has no configuration that it may serve.
 func classesInForce(cfg *configsync.Sync) frontend.ClassTable {
-	doc := cfg.Current()
-	if doc == nil || !cfg.Ready() {
+	if doc := documentInForce(cfg); doc != nil {
+		return classTable{doc}
+	}
+	return nil
+}
+
+// documentInForce returns the configuration that the daemon may serve, nil for none.
+func documentInForce(cfg *configsync.Sync) *clusterconfig.Document {
+	if !cfg.Ready() {
 		return nil
 	}
-	return classTable{doc}
+	return cfg.Current()
 }
 
 func newBurn(k *kernel.Kernel) (any, error) {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,6 +21,7 @@
 	nameSettings   = "settings"
 	nameLog        = "log"
 	nameSelf       = "self"
+	nameEdges      = "edges"
 	nameTLS        = "tls"
 	namePlatform   = "platform"
 	namePeers      = "peers"
@@ -41,6 +42,7 @@
 	nameUnitMetrics = "unit-metrics"
 	nameFrontend    = "frontend"
 	nameAdmin       = "admin"
+	nameReadiness   = "readiness"
 )
 
 const (
@@ -50,12 +52,15 @@
 )
 
 // Run runs a daemon until SIGTERM, SIGINT or an error of a service, and returns after the graceful shutdown.
-func Run(s *settings.Settings) error {
+func Run(s *settings.Settings) error { return RunAt(s, Edges{}) }
+
+// RunAt is Run with other edges than those of the house's own stand-ins.
+func RunAt(s *settings.Settings, e Edges) error {
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(time.Duration(s.Limits.Drain)+stopMargin),
-		kernel.Module(factories(s)...),
+		kernel.Module(factories(s, e.withDefaults(s))...),
 	)
 	if err := app.Err(); err != nil {
 		return err
@@ -77,7 +82,7 @@
 }
 
 // factories lists the services in the order in which they start; they stop in reverse.
-func factories(s *settings.Settings) []kernel.Factory {
+func factories(s *settings.Settings, e Edges) []kernel.Factory {
 	self := platform.VM{
 		Name: s.VM, DataCentre: s.DataCentre, Region: s.Region,
 		PeerAddr: s.Listen.Peers, AdminAddr: s.Listen.Admin, State: platform.VMLive,
@@ -86,10 +91,11 @@
 		value(nameSettings, s),
 		value(nameLog, s.Logger()),
 		value(nameSelf, self),
+		value(nameEdges, e),
 		{Name: nameBurn, New: newBurn},
 		{Name: nameUnitMetrics, New: newUnitMetrics},
 		{Name: nameTLS, New: newTLS},
-		{Name: namePlatform, New: newPlatform},
+		value(namePlatform, e.Platform),
 		{Name: namePeers, New: newPeers},
 		{Name: nameGone, New: newGonePeers},
 		{Name: nameMembership, New: newMembership},
@@ -106,6 +112,7 @@
 		// Admin stands before the front end, so that it answers until callers have drained.
 		{Name: nameAdmin, New: newAdmin},
 		{Name: nameFrontend, New: newFrontend},
+		{Name: nameReadiness, New: newReadiness},
 	}
 }
 
--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/configsync"
 	"github.com/sycamorehub/sycamorehub/pkg/directory"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
@@ -14,13 +15,15 @@
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
+	"github.com/sycamorehub/sycamorehub/pkg/session"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
 // callers serves callers.
 type callers struct {
-	server *frontend.Server
+	server front
+	cancel func(pid, secret uint32) bool // nil: the callers' protocol has no cancel requests
 	addr   string
 	view   *membership.View
 	peers  *peerServer
@@ -33,7 +36,17 @@
 	view := kernel.Need[*membership.View](k, nameMembership)
 	p := kernel.Need[*peers](k, namePeers)
 	c := &callers{addr: s.Listen.Callers, view: view, peers: kernel.Need[*peerServer](k, namePeerServer), limit: time.Duration(s.Limits.Drain)}
-	c.server = frontend.New(frontend.Options{
+	if e := kernel.Need[Edges](k, nameEdges); e.Callers != nil {
+		c.server = session.NewServer(session.Options{
+			Protocol: e.Callers, Executor: kernel.Need[*router.Router](k, nameRouter),
+			Document: func() *clusterconfig.Document { return documentInForce(cfg) },
+			VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
+			DrainGrace: time.Duration(s.Limits.DrainGrace),
+			Observe:    kernel.Need[*unitMetrics](k, nameUnitMetrics).observe,
+		})
+		return c, nil
+	}
+	server := frontend.New(frontend.Options{
 		Executor: kernel.Need[*router.Router](k, nameRouter),
 		Classes:  func() frontend.ClassTable { return classesInForce(cfg) },
 		Services: kernel.Need[*directory.Directory](k, nameDirectory),
@@ -43,6 +56,7 @@
 		Observe:       kernel.Need[*unitMetrics](k, nameUnitMetrics).observe,
 		ForwardCancel: func(pid, secret uint32) { forwardCancel(p, view, pid, secret) },
 	})
+	c.server, c.cancel = server, server.Cancel
 	c.peers.server.Handle(wire.TypeCancelKey, c.handleCancel)
 	return c, nil
 }
@@ -77,7 +91,7 @@
 	if len(req.Secret) != secretBytes {
 		return nil, errkind.New(errkind.Protocol, "cancel key has %d bytes", len(req.Secret))
 	}
-	c.server.Cancel(req.PID, binary.BigEndian.Uint32(req.Secret))
+	c.cancel(req.PID, binary.BigEndian.Uint32(req.Secret))
 	return nil, nil
 }
 
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/sycamorehub/sycamorehub/pkg/configsync"
+	"github.com/sycamorehub/sycamorehub/pkg/frontend"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/owner"
@@ -111,7 +112,11 @@
 	if err != nil {
 		return // the front end starts last
 	}
-	st := callers.server.Startups()
+	server, ok := callers.server.(*frontend.Server)
+	if !ok {
+		return // other protocols have no expensive startup
+	}
+	st := server.Startups()
 	gauge(descStartups, float64(st.Waiting))
 	counter(descStartDelay, st.Delayed)
 	counter(descStartRefuse, st.Refused)
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/sycamorehub/sycamorehub/pkg/backend"
 	"github.com/sycamorehub/sycamorehub/pkg/directory"
 	"github.com/sycamorehub/sycamorehub/pkg/group"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
@@ -15,7 +14,6 @@
 	"github.com/sycamorehub/sycamorehub/pkg/pause"
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
-	"github.com/sycamorehub/sycamorehub/pkg/platform/httpapi"
 	"github.com/sycamorehub/sycamorehub/pkg/retry"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
 	"github.com/sycamorehub/sycamorehub/pkg/scheduler"
@@ -23,11 +21,6 @@
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
-func newPlatform(k *kernel.Kernel) (any, error) {
-	s := kernel.Need[*settings.Settings](k, nameSettings)
-	return httpapi.New(httpapi.Options{BaseURL: s.Platform.URL, Timeout: time.Duration(s.Platform.Timeout)}), nil
-}
-
 // peers joins the options that the pool and the server share.
 type peers struct {
 	*peer.Pool
@@ -60,7 +53,7 @@
 func newMembership(k *kernel.Kernel) (any, error) {
 	return membership.New(membership.Options{
 		Self:      kernel.Need[platform.VM](k, nameSelf),
-		Lister:    kernel.Need[*httpapi.Client](k, namePlatform),
+		Lister:    kernel.Need[Platform](k, namePlatform),
 		Transport: kernel.Need[*peers](k, namePeers).Pool,
 		Log:       logger(k, nameMembership),
 		State:     func() membership.State { return membershipState(k) },
@@ -70,7 +63,7 @@
 }
 
 func newDirectory(k *kernel.Kernel) (any, error) {
-	return directory.New(kernel.Need[*httpapi.Client](k, namePlatform), logger(k, nameDirectory),
+	return directory.New(kernel.Need[Platform](k, namePlatform), logger(k, nameDirectory),
 		kernel.Need[*membership.View](k, nameMembership).Reader), nil
 }
 
@@ -85,7 +78,7 @@
 
 func newWatcher(k *kernel.Kernel) (any, error) {
 	return watcher{group.New(group.Options{
-		Control: kernel.Need[*httpapi.Client](k, namePlatform),
+		Control: kernel.Need[Platform](k, namePlatform),
 		Self:    kernel.Need[platform.VM](k, nameSelf).Name,
 		Log:     logger(k, nameWatcher),
 		Relay: func(ctx context.Context, lead platform.VM, service string, seen uint32) (group.Relayed, error) {
@@ -135,24 +128,21 @@
 	}), nil
 }
 
-// cancelGrace is how long a cancelled statement may take to end before its connection is closed. A connection costs 12
-// to 25 ms; a longer grace would hold the callers of a frozen primary after its replacement.
-const cancelGrace = 200 * time.Millisecond
-
 func newOwner(k *kernel.Kernel, self string, m platform.Member) *owner.Owner {
 	s := kernel.Need[*settings.Settings](k, nameSettings)
 	connections := max(m.Connections-s.Endpoints.Reserve, 1)
+	e := kernel.Need[Edges](k, nameEdges)
 	newPool := func(ack owner.Acknowledge, admit owner.Admit) owner.Pool {
-		return backend.NewPool(backend.Options{
-			Member: m, User: s.Endpoints.User, Database: m.Service,
-			MaxConnections: connections, ConnectTimeout: time.Duration(s.Endpoints.ConnectTimeout),
-			CancelGrace: cancelGrace, Acknowledge: ack, Admit: admit, Log: logger(k, nameOwners).WithField("member", m.Name),
+		return e.NewPool(PoolOptions{
+			Member: m, MaxConnections: connections, ConnectTimeout: time.Duration(s.Endpoints.ConnectTimeout),
+			Acknowledge: ack, Admit: admit, Log: logger(k, nameOwners).WithField("member", m.Name),
 		})
 	}
 	// Connections that run single units and the probe connection are not available to open transactions.
 	transactions := max(connections-m.Slots-1, 1)
 	sched := scheduler.New(scheduler.Options{Slots: max(m.Slots, 1), Transactions: transactions})
 	o := owner.New(self, m, newPool, sched, kernel.Need[watcher](k, nameWatcher))
+	o.Assured(e.Assured)
 	o.OnlyWhile(kernel.Need[*pause.Guard](k, namePause).Settled)
 	return o
 }
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -57,6 +57,7 @@
 	BadParameter      = Kind{"bad_parameter", "22023", OutcomeNotRun, "correct the parameter value"}
 	Protocol          = Kind{"protocol_violation", "08P01", OutcomeNotRun, "check the client driver; only PostgreSQL protocol 3.0 is spoken"}
 	Unsupported       = Kind{"unsupported", "0A000", OutcomeNotRun, "see docs/OPERATIONS.md for the supported protocol features"}
+	UnknownStatement  = Kind{"unknown_statement", "26000", OutcomeNotRun, "prepare the statement in this session first"}
 	TransactionLost   = Kind{"transaction_lost", "40001", OutcomeNotRun, "begin the transaction again; the open transaction was rolled back"}
 	Cancelled         = Kind{"cancelled", "57014", OutcomeUnknown, "none; the caller cancelled the request"}
 	Deadline          = Kind{"deadline", "57014", OutcomeNotRun, "retry, or state a longer target for the class"}
@@ -121,7 +122,7 @@
 }
 
 var all = []Kind{
-	Overload, NoPrimary, Draining, NotReady, NoMember, PeerUnreachable, Unknown, StaleRead, ReadFailed, BadToken,
+	Overload, NoPrimary, Draining, NotReady, NoMember, PeerUnreachable, Unknown, StaleRead, ReadFailed, BadToken, UnknownStatement,
 	UnknownClass, UnknownService, BadParameter, Protocol, Unsupported, TransactionLost, Cancelled, Deadline,
 	ConfigInvalid, ConfigConflict, StoreUnavailable, StoreUnknown, SettingsInvalid, TooManyConnection, Internal,
 }
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -199,7 +199,7 @@
 	switch {
 	case err == nil, errors.Is(err, platform.ErrFenced) && st.Member != "":
 		s.recordStatus(m, sent, now, st)
-	case errors.Is(err, platform.ErrFenced): // an answer without a status
+	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrBusy): // an answer without a status
 		m.answer(now)
 	default:
 		if m.fail(now, err); m.failures == 1 && m == s.primary {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -83,6 +83,7 @@
 	writes   writes
 	hold     writeHold
 	unpaused func() bool // nil: always
+	assured  platform.Guarantees
 	ackTime  ackTime
 	created  time.Time
 	cancel   context.CancelFunc
@@ -113,6 +114,9 @@
 // called before the first unit.
 func (o *Owner) OnlyWhile(settled func() bool) { o.unpaused = settled }
 
+// Assured tells what the member assures by itself. It must be called before the first unit.
+func (o *Owner) Assured(g platform.Guarantees) { o.assured = g }
+
 // checkSettled refuses new work on a VM that was paused and does not know yet what has changed meanwhile.
 func (o *Owner) checkSettled(u *unit.Unit) error {
 	if u.Tx.Open() || o.unpaused == nil || o.unpaused() {
@@ -291,6 +295,9 @@
 // Acknowledge waits until a write counts. It frees the slot first: the member has answered, and the wait for a
 // majority needs none.
 func (o *Owner) Acknowledge(ctx context.Context, term platform.Term, position platform.Position) error {
+	if o.assured.Acknowledged {
+		return nil
+	}
 	if grant, ok := ctx.Value(grantKey{}).(*scheduler.Grant); ok {
 		grant.Release()
 	}
@@ -326,7 +333,7 @@
 	if !ok || primary != o.member.Name {
 		return errkind.New(errkind.NoPrimary, "member %q is not the primary of %q", o.member.Name, service)
 	}
-	if !o.watcher.MajorityHeard(service, majorityWindow) {
+	if !o.assured.Acknowledged && !o.watcher.MajorityHeard(service, majorityWindow) {
 		return errkind.New(errkind.NoPrimary, "no majority of %q answered within %v", service, majorityWindow)
 	}
 	return nil
@@ -335,7 +342,7 @@
 // confirm checks, in requests sent after the read arrived, that no majority is fenced above the primary's term. From
 // then on the primary holds every write acknowledged before the read.
 func (o *Owner) confirm(ctx context.Context, u *unit.Unit) error {
-	if err := o.checkPrimary(u.Service); err != nil {
+	if err := o.checkPrimary(u.Service); err != nil || o.assured.Primary {
 		return err
 	}
 	term, err := o.watcher.ConfirmPrimary(ctx, u.Service)
@@ -389,7 +396,7 @@
 	if err := o.checkAge(u); err != nil {
 		return err
 	}
-	if token.Covers(u.Require, m.Status.AppliedTerm, m.Status.Applied) {
+	if o.assured.Position || token.Covers(u.Require, m.Status.AppliedTerm, m.Status.Applied) {
 		return nil
 	}
 	wait, cancel := context.WithTimeout(ctx, u.Target/coverWaitPart)
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -24,6 +24,8 @@
 	// ErrRefused comes with ErrUnavailable when the other side refused or closed a fresh connection: its machine
 	// answers, its process does not.
 	ErrRefused = errors.New("platform: connection refused")
+	// ErrBusy is an answer of a member that has no slot free for the request. It says that the member is alive.
+	ErrBusy = errors.New("platform: member has no free slot")
 )
 
 // VMState is the state of a VM in the platform's list.
@@ -105,6 +107,18 @@
 	Follow(ctx context.Context, m Member, term Term, primary Member) (Status, error)
 }
 
+// Guarantees are what the endpoints of an installation assure by themselves. What they do not assure is checked by the
+// owners of members, at the cost of requests to a majority of the members.
+type Guarantees struct {
+	// Acknowledged: a write that a member answers with success counts, as durable as the service's own replication makes
+	// it. A member that has been replaced as primary answers none with success.
+	Acknowledged bool
+	// Primary: a member that is not the primary refuses units with Unit.ConfirmPrimary.
+	Primary bool
+	// Position: a member refuses a read that needs a position that it has not applied.
+	Position bool
+}
+
 // Row is a value of the table with its version.
 type Row struct {
 	Value   []byte
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -140,7 +140,7 @@
 // Logger returns the logger that the settings describe.
 func (s *Settings) Logger() *logrus.Entry {
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
+	log.SetOutput(os.Stdout)
 	if s.Log.Format == "json" {
 		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
--- /dev/null
+++ b/pkg/sockio/quiet.go
@@ -0,0 +1,27 @@
+package sockio
+
+import (
+	"net"
+	"syscall"
+)
+
+// Quiet reports whether an idle connection can be used: it is neither closed by the other side nor holds bytes that
+// nobody asked for. It costs one system call.
+func Quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var b [1]byte
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/pkg/unit/unit.go
+++ b/pkg/unit/unit.go
@@ -48,6 +48,12 @@
 	Parse []byte `msgpack:"p"` // encoded pgproto3.Parse message with that name
 }
 
+// Value is a session value that a unit needs to be set on the connection that runs it.
+type Value struct {
+	Name  string `msgpack:"n"`
+	Value string `msgpack:"v"`
+}
+
 // TxRef names an open transaction: the VM and member that hold its backend connection, and its id there. The zero
 // value means no open transaction.
 type TxRef struct {
@@ -83,6 +89,7 @@
 	Messages       []byte        `msgpack:"b"` // encoded frontend messages, ending with Query or Sync
 	Statements     []Statement   `msgpack:"t"` // prepared statements used but not parsed in Messages
 	Tx             TxRef         `msgpack:"x"` // open transaction that the unit belongs to
+	Values         []Value       `msgpack:"l"` // all values of the session, for endpoints that keep them per connection
 }
 
 // Result is what is known after a unit.
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -121,7 +121,7 @@
 	Unit     unit.Unit
 }
 
-const executeFields = 19
+const executeFields = 20
 
 const (
 	flagWrite = 1 << iota
@@ -159,6 +159,11 @@
 		e.str(u.Statements[i].Name)
 		e.bytes(u.Statements[i].Parse)
 	}
+	e.array(2 * len(u.Values))
+	for i := range u.Values {
+		e.str(u.Values[i].Name)
+		e.str(u.Values[i].Value)
+	}
 	e.bytesHeader(len(u.Messages))
 	head, err = e.end(len(u.Messages))
 	return head, u.Messages, err
@@ -208,6 +213,7 @@
 	u.IdempotencyKey = d.str()
 	u.Tx = d.tx()
 	u.Statements = d.statements()
+	u.Values = d.values()
 	u.Messages = d.bytes()
 	return x, d.end()
 }
@@ -228,6 +234,22 @@
 	return out
 }
 
+func (d *Decoder) values() []unit.Value {
+	n := d.array()
+	if n == 0 {
+		return nil
+	}
+	if n%2 != 0 {
+		d.fail()
+		return nil
+	}
+	out := make([]unit.Value, 0, n/2)
+	for i := 0; i < n/2 && d.err == nil; i++ {
+		out = append(out, unit.Value{Name: d.str(), Value: d.str()})
+	}
+	return out
+}
+
 func (d *Decoder) duration() time.Duration {
 	v := time.Duration(d.uint())
 	if v < 0 {
