--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -89,7 +89,8 @@
 			}
 			return group.DecodeRelayed(reply)
 		},
-		Stand: time.Duration(kernel.Need[*settings.Settings](k, nameSettings).Placement.Stand),
+		PromoteTime: kernel.Need[Edges](k, nameEdges).Assured.Promotion,
+		Stand:       time.Duration(kernel.Need[*settings.Settings](k, nameSettings).Placement.Stand),
 		HoldWrites: func(ctx context.Context, service, member string) (func(), bool) {
 			set, err := kernel.Lookup[*owner.Set](k, nameOwners) // starts after the watcher
 			if err != nil {
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -34,7 +34,7 @@
 		began, lost = s.primary.heard, s.primary.info.Name
 	}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, attemptTimeout+s.w.opts.PromoteTime)
 	defer cancel()
 	var chosen string
 	a, ok := s.prepare(reason)
@@ -95,7 +95,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	top := s.highestTerm()
-	if s.stopped || s.rank < 0 || s.need(time.Now()) != reason || top > s.election.fence {
+	if need := s.need(time.Now()); s.stopped || s.rank < 0 || need != reason || top > s.election.fence {
+		s.log().WithFields(logrus.Fields{"reason": reason, "need": need, "fence": top, "known": s.election.fence}).
+			Info("promotion attempt given up before it began")
 		return quorum.Attempt{}, false // a fence that is new is that of another promoter
 	}
 	a := quorum.Attempt{
@@ -294,7 +296,7 @@
 }
 
 func (s *service) promote(ctx context.Context, m *member, a quorum.Attempt) (platform.Status, error) {
-	return s.call(ctx, m, callTimeout, func(ctx context.Context, info platform.Member) (platform.Status, error) {
+	return s.call(ctx, m, callTimeout+s.w.opts.PromoteTime, func(ctx context.Context, info platform.Member) (platform.Status, error) {
 		return s.w.opts.Control.Promote(ctx, info, a.Term, a.ID)
 	})
 }
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/quorum"
 )
@@ -48,6 +50,8 @@
 		if e.reason == "" {
 			s.wakeAll() // poll at the fast interval from now on
 		}
+		s.log().WithFields(logrus.Fields{"reason": reason, "before": e.reason, "rank": s.rank, "primary": s.primary.name()}).
+			Info("need for a promotion changed")
 		e.reason, e.since = reason, now
 	}
 	if e.fence > 0 && top > e.fence {
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -32,6 +32,8 @@
 	// HoldWrites keeps new writes from a member that this VM owns until release is called, and waits for those in
 	// progress. It reports whether none is left. nil: primaries are not moved between regions.
 	HoldWrites func(ctx context.Context, service, member string) (release func(), quiet bool)
+	// PromoteTime is how long a member takes to lead after it was told to, beyond the time of a call. 0: it leads at once.
+	PromoteTime time.Duration
 	// Stand is how long a primary stands before it may be moved, see placement.DefaultStand; 0: for good.
 	Stand time.Duration
 }
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/placement"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
@@ -207,6 +209,8 @@
 		}
 		if m.failures == suspectFailures {
 			s.notify()
+			s.log().WithError(err).WithFields(logrus.Fields{"member": m.name(), "silent": now.Sub(m.heard).String()}).
+				Info("member does not answer")
 		}
 	}
 	s.supervise(now)
@@ -228,6 +232,10 @@
 	s.sample(m)
 	s.completeAcks()
 	m.completeApplied()
+	if unreachable && m.polled != (time.Time{}) {
+		s.log().WithFields(logrus.Fields{"member": m.name(), "role": st.Role, "term": st.LastTerm, "position": st.LastPosition}).
+			Info("member answers")
+	}
 	if m.progress || unreachable {
 		s.changedStatus()
 	}
@@ -239,7 +247,20 @@
 	s.derive()
 	if s.primary != before {
 		s.leadChanged()
+		s.log().WithFields(logrus.Fields{"primary": s.primary.name(), "before": before.name(), "term": s.term}).
+			Info("primary changed in this VM's view")
+	}
+}
+
+// log returns the logger for what this VM believes of the service.
+func (s *service) log() logrus.FieldLogger { return s.w.opts.Log.WithField("of", s.name) }
+
+// name returns the member's name, "" for none.
+func (m *member) name() string {
+	if m == nil {
+		return ""
 	}
+	return m.info.Name
 }
 
 // leadChanged makes the relay loop look for the lead, and all members be polled until that answers.
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -117,6 +117,8 @@
 	Primary bool
 	// Position: a member refuses a read that needs a position that it has not applied.
 	Position bool
+	// Promotion is how long a member takes to lead after it was told to. 0: it leads at once.
+	Promotion time.Duration
 }
 
 // Row is a value of the table with its version.
