--- /dev/null
+++ b/pkg/connpool/connpool_test.go
@@ -0,0 +1,222 @@
+package connpool
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
+)
+
+// fakeConn is a connection on which a unit that begins opens a transaction, and one that does not ends it.
+type fakeConn struct {
+	m      *fakeMember
+	broken bool
+	inTx   bool
+}
+
+// fakeMember counts its connections.
+type fakeMember struct {
+	mu                             sync.Mutex
+	limit, open, dials, rolledBack int // guarded by mu
+	run                            func(c *fakeConn, u *unit.Unit) unit.Result
+}
+
+func (m *fakeMember) dial(context.Context) (Conn, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dials++
+	if m.open >= m.limit {
+		return nil, errkind.New(errkind.TooManyConnection, "limit")
+	}
+	m.open++
+	return &fakeConn{m: m}, nil
+}
+
+func (c *fakeConn) Run(_ context.Context, u *unit.Unit, _ unit.Sink) unit.Result {
+	if c.m.run != nil {
+		return c.m.run(c, u)
+	}
+	c.inTx = u.Begin
+	return unit.Result{Outcome: errkind.OutcomeDone, TxStatus: map[bool]byte{true: 'T', false: 'I'}[c.inTx]}
+}
+
+func (c *fakeConn) Rollback(context.Context) error {
+	if c.broken {
+		return errors.New("broken")
+	}
+	c.m.mu.Lock()
+	defer c.m.mu.Unlock()
+	c.inTx = false
+	c.m.rolledBack++
+	return nil
+}
+func (c *fakeConn) Usable() bool { return !c.broken }
+func (c *fakeConn) Close() {
+	c.m.mu.Lock()
+	defer c.m.mu.Unlock()
+	c.broken = true
+	c.m.open--
+}
+
+// connections returns the number of open connections.
+func (m *fakeMember) connections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.open
+}
+
+func newTestPool(m *fakeMember, most int) *Pool {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{Member: "m", MaxConnections: most, Dial: m.dial, Log: log})
+}
+
+func begin(t *testing.T, p *Pool) unit.TxRef {
+	res := p.Run(t.Context(), &unit.Unit{Begin: true}, nil)
+	require.NoError(t, res.Err)
+	require.True(t, res.Tx.Open())
+	return res.Tx
+}
+
+// Guards against statements of one transaction on another's connection, and against units outside transactions on the
+// connection of one.
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	m := &fakeMember{limit: 9}
+	ran := map[*fakeConn][]string{}
+	m.run = func(c *fakeConn, u *unit.Unit) unit.Result {
+		ran[c] = append(ran[c], string(u.Messages))
+		status := byte('T')
+		if string(u.Messages) == "end" || string(u.Messages) == "single" {
+			status = 'I'
+		}
+		return unit.Result{Outcome: errkind.OutcomeDone, TxStatus: status}
+	}
+	p := newTestPool(m, 3)
+	run := func(text string, tx unit.TxRef) unit.TxRef {
+		res := p.Run(t.Context(), &unit.Unit{Messages: []byte(text), Tx: tx}, nil)
+		require.NoError(t, res.Err)
+		return res.Tx
+	}
+	a, b := run("a", unit.TxRef{}), run("b", unit.TxRef{})
+	run("single", unit.TxRef{})
+	require.Equal(t, a, run("a", a))
+	require.Equal(t, b, run("b", b))
+	require.False(t, run("end", a).Open())
+	var got [][]string
+	for _, texts := range ran {
+		got = append(got, texts)
+	}
+	require.ElementsMatch(t, [][]string{{"a", "a", "end"}, {"b", "b"}, {"single"}}, got)
+	res := p.Run(t.Context(), &unit.Unit{Tx: a}, nil)
+	require.True(t, errkind.Is(res.Err, errkind.TransactionLost), "%v", res.Err)
+	require.Equal(t, errkind.OutcomeNotRun, res.Outcome)
+}
+
+// Guards against a transaction that stays open at the member after its caller has gone or its pool was closed, and
+// against connections that are lost with it.
+func TestAbandonedTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &fakeMember{limit: 9}
+		p := newTestPool(m, 2)
+		tx := begin(t, p)
+		p.Rollback(tx.ID)
+		synctest.Wait()
+		require.Equal(t, 1, m.rolledBack)
+		require.NoError(t, p.Run(t.Context(), &unit.Unit{}, nil).Err)
+		require.Equal(t, 1, m.dials, "the connection is used again")
+
+		begin(t, p)
+		p.Close()
+		synctest.Wait()
+		require.Zero(t, m.connections())
+		require.True(t, errkind.Is(p.Run(t.Context(), &unit.Unit{}, nil).Err, errkind.NoMember))
+	})
+}
+
+// Guards against connections beyond the limit, against waits without end, and against a permission to dial that is lost
+// when a connection breaks or a wait is given up: the pool would run out of connections for good.
+func TestLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &fakeMember{limit: 9}
+		m.run = func(c *fakeConn, _ *unit.Unit) unit.Result {
+			time.Sleep(time.Second)
+			c.broken = true
+			return unit.Result{Outcome: errkind.OutcomeUnknown, TxStatus: 'I', Err: errors.New("broken")}
+		}
+		p := newTestPool(m, 2)
+		for range 3 {
+			results := make(chan unit.Result, 5)
+			for range 5 {
+				go func() {
+					ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+					defer cancel()
+					results <- p.Run(ctx, &unit.Unit{}, nil)
+				}()
+			}
+			refused := 0
+			for range 5 {
+				if res := <-results; res.Outcome == errkind.OutcomeNotRun {
+					require.True(t, errkind.Is(res.Err, errkind.Deadline), "%v", res.Err)
+					refused++
+				}
+				require.LessOrEqual(t, m.connections(), 2)
+			}
+			require.Equal(t, 1, refused, "two at once, two when those break, one runs out of time")
+			time.Sleep(time.Minute)
+			require.Zero(t, m.connections())
+			require.Zero(t, p.open)
+		}
+	})
+}
+
+// Guards against units that fail while another owner still holds the member's connections, and against a former owner
+// that holds on to them.
+func TestMovedMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &fakeMember{limit: 1}
+		old, next := newTestPool(m, 1), newTestPool(m, 1)
+		require.NoError(t, old.Run(t.Context(), &unit.Unit{}, nil).Err)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			old.SetOwned(false)
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.NoError(t, next.Run(ctx, &unit.Unit{}, nil).Err)
+		res := old.Run(ctx, &unit.Unit{}, nil)
+		require.Equal(t, errkind.OutcomeNotRun, res.Outcome)
+		require.True(t, errkind.Is(res.Err, errkind.TooManyConnection), "%v", res.Err)
+	})
+}
+
+// Guards against a unit that is sent although the owner has learned, while it waited for its connection, that the member
+// may not serve it.
+func TestAdmit(t *testing.T) {
+	m := &fakeMember{limit: 1}
+	p := newTestPool(m, 1)
+	refuse := true
+	p.o.Admit = func(*unit.Unit) error {
+		if refuse {
+			return errkind.New(errkind.NoPrimary, "replaced")
+		}
+		return nil
+	}
+	m.run = func(*fakeConn, *unit.Unit) unit.Result {
+		require.False(t, refuse)
+		return unit.Result{Outcome: errkind.OutcomeDone, TxStatus: 'I'}
+	}
+	res := p.Run(t.Context(), &unit.Unit{Write: true}, nil)
+	require.Equal(t, errkind.OutcomeNotRun, res.Outcome)
+	refuse = false
+	require.NoError(t, p.Run(t.Context(), &unit.Unit{Write: true}, nil).Err)
+	require.Equal(t, 1, m.dials)
+}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -156,6 +156,7 @@
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
+	s.listeners = nil
 }
 
 // waitEmpty waits until no caller is left, at most until the given time, and reports whether none is.
--- /dev/null
+++ b/pkg/session/session_test.go
@@ -0,0 +1,336 @@
+package session
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
+)
+
+func class(c clusterconfig.Consistency) clusterconfig.Class {
+	return clusterconfig.Class{Name: string(c), Rank: "routine", Access: clusterconfig.AccessStatement, Consistency: c,
+		MaxAge: clusterconfig.Duration(time.Second)}
+}
+
+func rulesOf(c clusterconfig.Consistency) func() (Rules, error) {
+	return func() (Rules, error) {
+		return Rules{Class: class(c), Route: clusterconfig.Route{Database: "db", Service: "svc", Class: string(c),
+			Timeout: clusterconfig.Duration(800 * time.Millisecond)}}, nil
+	}
+}
+
+func statement(k Kind) Statement { return Statement{Kind: k, ID: "1", Messages: []byte("1 text")} }
+
+var openTx = unit.TxRef{VM: "vm", Member: "m", ID: 7}
+
+func done(status byte, tx unit.TxRef) unit.Result {
+	return unit.Result{Outcome: errkind.OutcomeDone, TxStatus: status, Tx: tx}
+}
+
+// Guards against reads that may be served from too old a log: what a read requires follows from the class, and from the
+// session's own writes where the class promises them.
+func TestReadsRequire(t *testing.T) {
+	written := unit.Requirement{Term: 3, Position: 40}
+	for c, want := range map[clusterconfig.Consistency]unit.Unit{
+		clusterconfig.ConsistencyPrimary: {ConfirmPrimary: true},
+		clusterconfig.ConsistencyBounded: {MaxAge: time.Second},
+		clusterconfig.ConsistencySession: {MaxAge: time.Second, Require: written},
+	} {
+		s := New()
+		write, _, _ := s.Plan(statement(KindWrite), rulesOf(c))
+		require.True(t, write.Write)
+		require.False(t, write.ConfirmPrimary)
+		res := done('I', unit.TxRef{})
+		res.Term, res.Position = written.Term, written.Position
+		_, rollback := s.Settle(statement(KindWrite), write, res, nil)
+		require.False(t, rollback.Open())
+		read, _, _ := s.Plan(statement(KindRead), rulesOf(c))
+		require.Equal(t, want, unit.Unit{ConfirmPrimary: read.ConfirmPrimary, MaxAge: read.MaxAge, Require: read.Require}, c)
+		require.False(t, read.Write)
+	}
+}
+
+// Guards against a session that never reads again what it wrote after its primary was replaced: the later term counts.
+func TestLaterTermReplacesPosition(t *testing.T) {
+	s := New()
+	s.advance("svc", unit.Requirement{Term: 3, Position: 90})
+	s.advance("svc", unit.Requirement{Term: 4, Position: 80})
+	s.advance("svc", unit.Requirement{Term: 3, Position: 95})
+	require.Equal(t, unit.Requirement{Term: 4, Position: 80}, s.require["svc"])
+}
+
+// Guards against transactions that only read on the primary, and against ones that write on a replica.
+func TestTransactionChoosesItsMember(t *testing.T) {
+	for _, c := range []struct {
+		begin       Kind
+		consistency clusterconfig.Consistency
+		write       bool
+	}{
+		{KindBegin, clusterconfig.ConsistencySession, true},
+		{KindBeginRead, clusterconfig.ConsistencySession, false},
+		{KindBeginRead, clusterconfig.ConsistencyBounded, false},
+		{KindBeginRead, clusterconfig.ConsistencyPrimary, true}, // the primary alone confirms that it is the primary
+	} {
+		s := New()
+		u, a, _ := s.Plan(statement(c.begin), rulesOf(c.consistency))
+		require.Nil(t, u, "the transaction begins at a member with its first statement")
+		require.Equal(t, byte('T'), a.State)
+		u, _, _ = s.Plan(statement(KindRead), rulesOf(c.consistency))
+		require.Equal(t, c.write, u.Write)
+		require.True(t, u.Begin)
+		s.Settle(statement(KindRead), u, done('T', openTx), nil)
+		u, _, _ = s.Plan(statement(KindRead), rulesOf(c.consistency))
+		require.Equal(t, openTx, u.Tx)
+		require.False(t, u.Begin)
+	}
+}
+
+// Guards against a promise that is not kept and against doubt where there is none: of a transaction only its COMMIT can
+// have taken effect.
+func TestFailureInTransaction(t *testing.T) {
+	lost := unit.Result{Outcome: errkind.OutcomeUnknown, TxStatus: 'I', Err: errkind.New(errkind.Unknown, "lost")}
+	refused := unit.NotRun(errkind.New(errkind.Overload, "busy"))
+	for name, c := range map[string]struct {
+		last  Kind
+		res   unit.Result
+		kind  errkind.Kind
+		state byte
+	}{
+		"statement lost":    {KindWrite, lost, errkind.TransactionLost, 'E'},
+		"statement refused": {KindWrite, refused, errkind.Overload, 'E'},
+		"commit lost":       {KindCommit, lost, errkind.Unknown, 'I'},
+		"commit refused":    {KindCommit, refused, errkind.TransactionLost, 'I'},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rules := rulesOf(clusterconfig.ConsistencySession)
+			s := New()
+			s.Plan(statement(KindBegin), rules)
+			u, _, _ := s.Plan(statement(KindWrite), rules)
+			s.Settle(statement(KindWrite), u, done('T', openTx), nil)
+			u, _, _ = s.Plan(statement(c.last), rules)
+			require.NotNil(t, u)
+			a, rollback := s.Settle(statement(c.last), u, c.res, nil)
+			require.True(t, errkind.Is(a.Err, c.kind), "%v", a.Err)
+			require.Equal(t, c.state, a.State)
+			require.Equal(t, openTx, rollback, "the member must not keep the transaction")
+			if c.state != 'E' {
+				return
+			}
+			_, a, _ = s.Plan(statement(KindRead), rules)
+			require.True(t, errkind.Is(a.Err, errkind.Protocol), "%v", a.Err)
+			_, a, _ = s.Plan(statement(KindCommit), rules)
+			require.True(t, errkind.Is(a.Err, errkind.TransactionLost), "%v", a.Err)
+			require.Equal(t, byte('I'), a.State)
+		})
+	}
+}
+
+// Guards against a route that changes within a transaction, and against one that stays after it.
+func TestRouteCountsFromTheNextTransaction(t *testing.T) {
+	s := New()
+	s.Plan(statement(KindBegin), rulesOf(clusterconfig.ConsistencySession))
+	gone := func() (Rules, error) { return Rules{}, errkind.New(errkind.UnknownService, "no route") }
+	u, a, _ := s.Plan(statement(KindRead), gone)
+	require.NotNil(t, u, "%v", a.Err)
+	s.Settle(statement(KindRead), u, done('T', openTx), nil)
+	u, _, _ = s.Plan(statement(KindCommit), gone)
+	s.Settle(statement(KindCommit), u, done('I', unit.TxRef{}), nil)
+	u, a, _ = s.Plan(statement(KindRead), gone)
+	require.Nil(t, u)
+	require.True(t, errkind.Is(a.Err, errkind.UnknownService))
+}
+
+// Guards against statements and values of one session that reach another: names are the session's own, and a prepared
+// statement is known to connections by its text.
+func TestPreparedStatementsAndValues(t *testing.T) {
+	rules := rulesOf(clusterconfig.ConsistencySession)
+	a, b := New(), New()
+	prepare := func(s *Session, shape string, write bool) {
+		s.Plan(Statement{Kind: KindPrepare, Name: "s1", Parse: []byte(shape), Write: write}, rules)
+	}
+	execute := func(s *Session) *unit.Unit {
+		u, answer, _ := s.Plan(Statement{Kind: KindExecute, Name: "s1", Messages: []byte("1 EXECUTE "), Tail: []byte(" x y")}, rules)
+		require.NoError(t, answer.Err)
+		return u
+	}
+	prepare(a, "READ q", false)
+	prepare(b, "WRITE q", true)
+	ua, ub := execute(a), execute(b)
+	require.NotEqual(t, ua.Statements[0].Name, ub.Statements[0].Name)
+	require.Equal(t, "1 EXECUTE "+ua.Statements[0].Name+" x y", string(ua.Messages))
+	require.False(t, ua.Write)
+	require.True(t, ub.Write)
+	prepare(b, "READ q", false)
+	require.Equal(t, ua.Statements, execute(b).Statements)
+
+	set := func(s *Session, name, value string) {
+		s.Plan(Statement{Kind: KindSet, Name: name, Value: value}, rules)
+	}
+	set(a, "v", "1")
+	before := execute(a).Values
+	set(a, "v", "2")
+	require.Equal(t, []unit.Value{{Name: "v", Value: "1"}}, before, "a unit in progress keeps its values")
+	require.Equal(t, []unit.Value{{Name: "v", Value: "2"}}, execute(a).Values)
+	require.Empty(t, execute(b).Values)
+	a.Plan(Statement{Kind: KindDeallocate, Name: "s1"}, rules)
+	_, answer, _ := a.Plan(Statement{Kind: KindExecute, Name: "s1"}, rules)
+	require.True(t, errkind.Is(answer.Err, errkind.UnknownStatement))
+}
+
+// fakeCaller is a caller whose statements a test sends.
+type fakeCaller struct {
+	statements chan Statement
+	answers    chan Answer
+	deadline   chan time.Time
+}
+
+func newFakeCaller() *fakeCaller {
+	return &fakeCaller{make(chan Statement), make(chan Answer, 16), make(chan time.Time, 16)}
+}
+
+func (f *fakeCaller) Startup() (string, error) { return "db", nil }
+func (f *fakeCaller) Accept(err error) error   { return err }
+func (f *fakeCaller) Write(a Answer) error     { f.answers <- a; return nil }
+func (f *fakeCaller) Close() error             { return nil }
+func (f *fakeCaller) SetIdleDeadline(t time.Time) error {
+	f.deadline <- t
+	return nil
+}
+
+func (f *fakeCaller) Read() (Statement, error) {
+	var expired <-chan time.Time
+	for {
+		select {
+		case t := <-f.deadline:
+			expired = nil
+			if !t.IsZero() {
+				expired = time.After(max(time.Until(t), 0))
+			}
+		case <-expired:
+			return Statement{}, os.ErrDeadlineExceeded
+		case st, ok := <-f.statements:
+			if !ok {
+				return Statement{}, io.EOF
+			}
+			return st, nil
+		}
+	}
+}
+
+type fakeExecutor struct {
+	execute func(ctx context.Context, u *unit.Unit) unit.Result
+	rolled  chan unit.TxRef
+}
+
+func (f fakeExecutor) Execute(ctx context.Context, u *unit.Unit, _ unit.Sink) unit.Result {
+	return f.execute(ctx, u)
+}
+func (f fakeExecutor) Rollback(tx unit.TxRef) { f.rolled <- tx }
+
+// pipeListener hands out one connection.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func startServer(t *testing.T, f *fakeCaller, e fakeExecutor) *Server {
+	doc := &clusterconfig.Document{Version: 1, Default: "session", Classes: []clusterconfig.Class{class(clusterconfig.ConsistencySession)},
+		Routes:          []clusterconfig.Route{{Database: "db", Service: "svc", Class: "session", Timeout: clusterconfig.Duration(time.Second)}},
+		IdleTransaction: clusterconfig.Duration(3 * time.Second)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := NewServer(Options{Protocol: func(net.Conn) Caller { return f }, Executor: e, Log: log, MaxConnections: 4,
+		Document: func() *clusterconfig.Document { return doc }, DrainGrace: 2 * time.Second,
+		Observe: func(string, errkind.Outcome, string, time.Duration) {}})
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	l := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+	l.conns <- a
+	go func() { _ = s.Serve(l) }()
+	return s
+}
+
+// Guards against a stop that cuts off a statement in progress or an open transaction before half of its time is over, and
+// against one that waits for callers that idle.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCaller()
+		running := make(chan struct{})
+		s := startServer(t, f, fakeExecutor{rolled: make(chan unit.TxRef, 1), execute: func(context.Context, *unit.Unit) unit.Result {
+			close(running)
+			time.Sleep(3 * time.Second)
+			return done('I', unit.TxRef{})
+		}})
+		f.statements <- statement(KindRead)
+		<-running
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+		defer cancel()
+		start := time.Now()
+		require.NoError(t, s.Drain(ctx))
+		require.Equal(t, 3*time.Second, time.Since(start))
+		require.NoError(t, (<-f.answers).Err)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f, rolled := newFakeCaller(), make(chan unit.TxRef, 1)
+		s := startServer(t, f, fakeExecutor{rolled: rolled, execute: func(context.Context, *unit.Unit) unit.Result {
+			return done('T', openTx)
+		}})
+		f.statements <- statement(KindBegin)
+		f.statements <- statement(KindWrite)
+		<-f.answers
+		<-f.answers
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		start := time.Now()
+		require.NoError(t, s.Drain(ctx))
+		require.Equal(t, 2*time.Second, time.Since(start))
+		require.Equal(t, openTx, <-rolled)
+	})
+}
+
+// Guards against a caller that rests inside a transaction and keeps a member's connection from others.
+func TestIdleTransactionIsRolledBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, rolled := newFakeCaller(), make(chan unit.TxRef, 1)
+		s := startServer(t, f, fakeExecutor{rolled: rolled, execute: func(context.Context, *unit.Unit) unit.Result {
+			return done('T', openTx)
+		}})
+		defer s.close()
+		f.statements <- statement(KindBegin)
+		f.statements <- statement(KindWrite)
+		start := time.Now()
+		require.Equal(t, openTx, <-rolled)
+		require.Equal(t, 3*time.Second, time.Since(start))
+		time.Sleep(time.Minute)
+		f.statements <- statement(KindWrite)
+		<-f.answers
+		<-f.answers
+		a := <-f.answers
+		require.True(t, errkind.Is(a.Err, errkind.TransactionLost), "%v", a.Err)
+		require.Equal(t, byte('E'), a.State)
+		f.statements <- statement(KindRollback)
+		require.Equal(t, byte('I'), (<-f.answers).State)
+		close(f.statements)
+	})
+}
