Keep serving at a member that has reached its connection limit

Cause: after all VMs lost power, members hold the connections of the former processes for 3 s. New owners found them at their limit: every waiting unit dialled every 20 ms, and units held a slot while they waited for a connection, so that the scheduler's estimates of service times rose from 20 to 350 ms and nearly everything was refused as overload. Connections that a burst had opened stayed open for good, which made the limit come sooner.

Change: one unit at a time asks a member at its limit again; meanwhile the scheduler admits no more slots and transactions than there are connections for. Connections unused for 2 s are closed, but for two.

Watchers' own status requests still make most of the refused connections.

--- a/pkg/connpool/connpool.go
+++ b/pkg/connpool/connpool.go
@@ -40,6 +40,9 @@
 	MaxConnections int
 	// Dial opens a connection. An error of kind TooManyConnection means that the member has reached its limit.
 	Dial func(ctx context.Context) (Conn, error)
+	// Limit, if set, is told how many connections there are while the member allows no more, and MaxConnections afterwards.
+	// It must not call the pool.
+	Limit func(connections int)
 	// Admit is called when a unit has its connection, right before the unit is sent. After an error it is not run.
 	Admit func(u *unit.Unit) error
 	Log   logrus.FieldLogger
@@ -50,15 +53,29 @@
 	o Options
 
 	mu      sync.Mutex
-	idle    []Conn             // guarded by mu; the last one was used last
+	idle    []idleConn         // guarded by mu; the last one was used last
 	open    int                // guarded by mu; connections open or being dialled
 	waiters []chan Conn        // guarded by mu; nil on a channel means permission to dial
+	limited bool               // guarded by mu; the member has reached its limit: one unit tries, the others wait
 	tx      map[uint64]*pinned // guarded by mu; by transaction id
 	nextTx  uint64             // guarded by mu
 	moved   bool               // guarded by mu; another VM owns the member
 	closed  bool               // guarded by mu
 }
 
+// idleConn is a connection that no unit uses.
+type idleConn struct {
+	conn  Conn
+	since time.Time
+}
+
+// Connections that a burst has opened are closed some time after it. While they stay, an owner that takes over after a
+// power failure finds the member at its limit until that has noticed that the former owner is gone.
+const (
+	idleTimeout = 2 * time.Second
+	keptIdle    = 2 // stay open however long they are unused
+)
+
 // pinned is the connection of an open transaction.
 type pinned struct {
 	conn   Conn
@@ -71,6 +88,9 @@
 	if o.Admit == nil {
 		o.Admit = func(*unit.Unit) error { return nil }
 	}
+	if o.Limit == nil {
+		o.Limit = func(int) {}
+	}
 	if o.Log == nil {
 		o.Log = logrus.StandardLogger()
 	}
@@ -198,7 +218,7 @@
 			}
 		}
 		if c == nil {
-			continue // the member was at its limit
+			continue // the member is at its limit, and another unit asks it again
 		}
 		if c.Usable() {
 			return c, nil
@@ -215,12 +235,12 @@
 		return nil, errkind.New(errkind.NoMember, "connection pool of %s is closed", p.o.Member)
 	}
 	if n := len(p.idle) - 1; n >= 0 {
-		c := p.idle[n]
-		p.idle[n], p.idle = nil, p.idle[:n]
+		c := p.idle[n].conn
+		p.idle[n], p.idle = idleConn{}, p.idle[:n]
 		p.mu.Unlock()
 		return c, nil
 	}
-	if p.open < p.o.MaxConnections {
+	if p.open < p.o.MaxConnections && !p.limited {
 		p.open++
 		p.mu.Unlock()
 		return nil, nil
@@ -255,25 +275,75 @@
 	p.free()
 }
 
-// dial opens a connection for which p.open has been raised. It returns nil without an error after a pause when the member
-// has reached its limit and this VM owns it.
+// dial opens a connection for which p.open has been raised. A member that has reached its limit is asked again after a
+// pause, by one unit at a time: after many VMs have restarted, a flood of refused connections would take the slots that the
+// statements need.
 func (p *Pool) dial(ctx context.Context) (Conn, error) {
-	c, err := p.o.Dial(ctx)
-	if err == nil {
-		return c, nil
+	trying := false // this unit is the one that asks the member again
+	for {
+		c, err := p.o.Dial(ctx)
+		if !errkind.Is(err, errkind.TooManyConnection) {
+			if trying {
+				p.endTrying(p.o.MaxConnections)
+			}
+			if err != nil {
+				p.free()
+			}
+			return c, err
+		}
+		if !trying {
+			if trying = p.beginTrying(); !trying {
+				return nil, p.yield(err)
+			}
+		}
+		select {
+		case <-time.After(busyPause):
+		case <-ctx.Done():
+			p.endTrying(1)
+			p.free()
+			return nil, err
+		}
 	}
-	p.free()
-	if !errkind.Is(err, errkind.TooManyConnection) || p.hasMoved() {
-		return nil, err
+}
+
+// beginTrying makes the caller the one unit that asks a member at its limit again. It reports false when there is another
+// one, or when another VM owns the member and needs its connections.
+func (p *Pool) beginTrying() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limited || p.moved {
+		return false
 	}
-	select {
-	case <-time.After(busyPause):
-		return nil, nil
-	case <-ctx.Done():
-		return nil, err
+	p.limited = true
+	p.o.Limit(p.open - 1) // without the one that was refused
+	return true
+}
+
+// endTrying lets other units dial again: at most n of those that wait.
+func (p *Pool) endTrying(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limited = false
+	p.o.Limit(p.o.MaxConnections)
+	for ; n > 0 && len(p.waiters) > 0 && p.open < p.o.MaxConnections; n-- {
+		p.open++
+		w := p.waiters[0]
+		p.waiters = append(p.waiters[:0], p.waiters[1:]...)
+		w <- nil // has room for one
 	}
 }
 
+// yield gives up the place of a refused dial. It returns nil while another unit asks the member again.
+func (p *Pool) yield(err error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	if p.moved {
+		return err
+	}
+	return nil
+}
+
 // release makes a connection available again, or closes it when it cannot be reused.
 func (p *Pool) release(c Conn) {
 	if !c.Usable() {
@@ -293,7 +363,7 @@
 		p.discard(c)
 		return
 	}
-	p.idle = append(p.idle, c)
+	p.idle = append(p.idle, idleConn{c, time.Now()})
 	p.mu.Unlock()
 }
 
@@ -306,7 +376,7 @@
 // free lowers the number of open connections, or passes the permission to dial to a waiter.
 func (p *Pool) free() {
 	p.mu.Lock()
-	if len(p.waiters) == 0 {
+	if len(p.waiters) == 0 || p.limited {
 		p.open--
 		p.mu.Unlock()
 		return
@@ -323,21 +393,32 @@
 	return p.moved
 }
 
-// SetOwned tells the pool whether this VM owns the member. Without it the pool closes connections that nobody uses, since
-// the new owner needs them.
+// SetOwned tells the pool, several times a second, whether this VM owns the member. Without it the pool closes connections
+// that nobody uses, since the new owner needs them; with it, those that have been unused for some time.
 func (p *Pool) SetOwned(owned bool) {
 	p.mu.Lock()
 	p.moved = !owned
-	var drop []Conn
-	if p.moved {
-		drop, p.idle = p.idle, nil
+	n := len(p.idle)
+	if owned {
+		n = p.unused(time.Now())
 	}
+	drop := append([]idleConn(nil), p.idle[:n]...)
+	p.idle = append(p.idle[:0], p.idle[n:]...)
 	p.mu.Unlock()
 	for _, c := range drop {
-		p.discard(c)
+		p.discard(c.conn)
 	}
 }
 
+// unused returns how many of the idle connections, from the front, are to be closed. p.mu is held.
+func (p *Pool) unused(now time.Time) int {
+	n := 0
+	for n < len(p.idle)-keptIdle && now.Sub(p.idle[n].since) >= idleTimeout {
+		n++
+	}
+	return n
+}
+
 // Waiting returns the number of units that wait for a connection.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
@@ -362,7 +443,10 @@
 		open = append(open, t.conn)
 	}
 	p.mu.Unlock()
-	for _, c := range append(drop, open...) {
+	for _, c := range drop {
+		p.discard(c.conn)
+	}
+	for _, c := range open {
 		p.discard(c) // the member rolls back what is open
 	}
 }
--- a/pkg/connpool/connpool_test.go
+++ b/pkg/connpool/connpool_test.go
@@ -220,3 +220,76 @@
 	require.NoError(t, p.Run(t.Context(), &unit.Unit{Write: true}, nil).Err)
 	require.Equal(t, 1, m.dials)
 }
+
+// Guards against a flood of refused connections at a member at its limit, as after many VMs have restarted while it still
+// holds their connections, and against units that wait on when it has room again.
+func TestMemberAtItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &fakeMember{limit: 0}
+		m.run = func(*fakeConn, *unit.Unit) unit.Result {
+			time.Sleep(10 * time.Millisecond)
+			return unit.Result{Outcome: errkind.OutcomeDone, TxStatus: 'I'}
+		}
+		p := newTestPool(m, 8)
+		var limits []int
+		p.o.Limit = func(n int) { limits = append(limits, n) }
+		results := make(chan unit.Result, 40)
+		run := func(limit time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			results <- p.Run(ctx, &unit.Unit{}, nil)
+		}
+		for i := range 40 {
+			go run(map[bool]time.Duration{true: 300 * time.Millisecond, false: 3 * time.Second}[i < 10])
+		}
+		time.Sleep(time.Second)
+		refused := len(results)
+		require.Equal(t, 10, refused, "units whose time is up do not wait on")
+		for range refused {
+			require.Equal(t, errkind.OutcomeNotRun, (<-results).Outcome)
+		}
+		m.mu.Lock()
+		require.LessOrEqual(t, m.dials, int(time.Second/busyPause)+8+2, "8 at once, then one at a time")
+		m.limit = 9
+		m.mu.Unlock()
+		start := time.Now()
+		for range 30 {
+			require.NoError(t, (<-results).Err)
+		}
+		require.Less(t, time.Since(start), 100*time.Millisecond)
+		require.LessOrEqual(t, m.connections(), 8)
+		require.Less(t, limits[0], 8)
+		require.Equal(t, 8, limits[len(limits)-1], "the limit is over")
+	})
+}
+
+// Guards against connections that a burst opened and that stay for good: after a power failure the next owner would find
+// the member at its limit.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &fakeMember{limit: 16}
+		m.run = func(*fakeConn, *unit.Unit) unit.Result {
+			time.Sleep(10 * time.Millisecond)
+			return unit.Result{Outcome: errkind.OutcomeDone, TxStatus: 'I'}
+		}
+		p := newTestPool(m, 12)
+		load := func(units int, lasts time.Duration) {
+			for end := time.Now().Add(lasts); time.Now().Before(end); {
+				var wg sync.WaitGroup
+				for range units {
+					wg.Go(func() { require.NoError(t, p.Run(t.Context(), &unit.Unit{}, nil).Err) })
+				}
+				wg.Wait()
+				p.SetOwned(true)
+			}
+		}
+		load(12, time.Second)
+		require.Equal(t, 12, m.connections())
+		load(3, 2*idleTimeout)
+		require.Equal(t, 3, m.connections())
+		require.Equal(t, 12, m.dials, "those in use stay")
+		time.Sleep(time.Minute)
+		p.SetOwned(true)
+		require.Equal(t, keptIdle, m.connections())
+	})
+}
--- a/pkg/daemon/edges.go
+++ b/pkg/daemon/edges.go
@@ -33,7 +33,9 @@
 	ConnectTimeout time.Duration
 	Acknowledge    owner.Acknowledge
 	Admit          owner.Admit
-	Log            logrus.FieldLogger
+	// Limit is told how many connections there are while the member allows no more, and MaxConnections afterwards.
+	Limit func(connections int)
+	Log   logrus.FieldLogger
 }
 
 // Edges are the parts of a daemon that depend on where it runs: its platform, and what callers and members speak. The
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -133,21 +133,28 @@
 	s := kernel.Need[*settings.Settings](k, nameSettings)
 	connections := max(m.Connections-s.Endpoints.Reserve, 1)
 	e := kernel.Need[Edges](k, nameEdges)
+	sched := scheduler.New(scheduler.Options{Slots: max(m.Slots, 1), Transactions: transactions(connections, m.Slots)})
+	log := logger(k, nameOwners).WithField("member", m.Name)
 	newPool := func(ack owner.Acknowledge, admit owner.Admit) owner.Pool {
 		return e.NewPool(PoolOptions{
 			Member: m, MaxConnections: connections, ConnectTimeout: time.Duration(s.Endpoints.ConnectTimeout),
-			Acknowledge: ack, Admit: admit, Log: logger(k, nameOwners).WithField("member", m.Name),
+			Acknowledge: ack, Admit: admit, Log: log,
+			Limit: func(n int) {
+				log.WithField("connections", n).Info("connections to the member that can be used changed")
+				sched.Resize(min(max(n, 1), max(m.Slots, 1)), transactions(n, m.Slots))
+			},
 		})
 	}
-	// Connections that run single units and the probe connection are not available to open transactions.
-	transactions := max(connections-m.Slots-1, 1)
-	sched := scheduler.New(scheduler.Options{Slots: max(m.Slots, 1), Transactions: transactions})
 	o := owner.New(self, m, newPool, sched, kernel.Need[watcher](k, nameWatcher))
 	o.Assured(e.Assured)
 	o.OnlyWhile(kernel.Need[*pause.Guard](k, namePause).Settled)
 	return o
 }
 
+// transactions returns how many transactions may be open on a number of connections: those that run single units and the
+// probe connection are not available to them.
+func transactions(connections, slots int) int { return max(connections-slots-1, 1) }
+
 func newViews(k *kernel.Kernel) (any, error) {
 	p := kernel.Need[*peers](k, namePeers)
 	fetch := router.Lookup(func(ctx context.Context, vm platform.VM, r wire.ViewRequest) ([]byte, error) {
