--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
+	"github.com/sycamorehub/sycamorehub/pkg/logqueue"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
 )
@@ -56,6 +57,11 @@
 
 // RunAt is Run with other edges than those of the house's own stand-ins.
 func RunAt(s *settings.Settings, e Edges) error {
+	if e.Log == nil {
+		var flush func()
+		e.Log, flush = NewLog(s)
+		defer flush()
+	}
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
@@ -70,12 +76,21 @@
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	<-app.Wait()
+	signal := <-app.Wait()
+	e.Log.WithField("signal", fmt.Sprint(signal.Signal)).WithField("limit", time.Duration(s.Limits.Drain).String()).Info("stopping")
 	ctx, cancel = context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return app.Stop(ctx)
 }
 
+// NewLog returns the daemon's logger, which never blocks, and the function that writes what waits at the end.
+func NewLog(s *settings.Settings) (log *logrus.Entry, flush func()) {
+	log = s.Logger()
+	queue := logqueue.New(log.Logger.Out)
+	log.Logger.SetOutput(queue)
+	return log, queue.Close
+}
+
 // value returns a factory for a service that exists already.
 func value(name string, v any) kernel.Factory {
 	return kernel.Factory{Name: name, New: func(*kernel.Kernel) (any, error) { return v, nil }}
@@ -89,7 +104,7 @@
 	}
 	return []kernel.Factory{
 		value(nameSettings, s),
-		value(nameLog, s.Logger()),
+		value(nameLog, e.Log),
 		value(nameSelf, self),
 		value(nameEdges, e),
 		{Name: nameBurn, New: newBurn},
--- a/pkg/daemon/edges.go
+++ b/pkg/daemon/edges.go
@@ -41,6 +41,8 @@
 // Edges are the parts of a daemon that depend on where it runs: its platform, and what callers and members speak. The
 // zero value stands for the platform of the settings and the PostgreSQL protocol.
 type Edges struct {
+	// Log, if set, is the logger of NewLog; the caller flushes it.
+	Log      *logrus.Entry
 	Platform Platform
 	// Assured is what the members assure by themselves.
 	Assured platform.Guarantees
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -344,7 +344,7 @@
 
 func (c *caller) logFailed(st Statement, a Answer, took time.Duration) {
 	c.server.o.Log.WithFields(logrus.Fields{
-		"request": st.ID, "database": c.database, "kind": errkind.Of(a.Err).Code, "state": string(a.State),
+		"request": st.ID, "database": c.database, "of": c.state.rules.Route.Service, "class": c.state.rules.Class.Name, "kind": errkind.Of(a.Err).Code, "state": string(a.State),
 		"outcome": errkind.Of(a.Err).Outcome.String(), "ms": took.Milliseconds(), "error": a.Err.Error(),
 	}).Info("request not served")
 }
