--- a/pkg/connpool/connpool.go
+++ b/pkg/connpool/connpool.go
@@ -387,12 +387,6 @@
 	w <- nil
 }
 
-func (p *Pool) hasMoved() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.moved
-}
-
 // SetOwned tells the pool, several times a second, whether this VM owns the member. Without it the pool closes connections
 // that nobody uses, since the new owner needs them; with it, those that have been unused for some time.
 func (p *Pool) SetOwned(owned bool) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -136,6 +136,9 @@
 		if !mayRepeat(u, res) || ctx.Err() != nil {
 			return res
 		}
+		if r.askLaterPrimary(ctx, u, res) {
+			continue
+		}
 		// Waiting for a primary sends nothing to an endpoint, so it needs no budget.
 		noPrimary := waitsForPrimary(u, res)
 		if !noPrimary && !r.Budget.Allow(u.Class) {
@@ -154,6 +157,21 @@
 	}
 }
 
+// askLaterPrimary sends a read to the primary that no member covers, once the primary of a later term than it requires is
+// known. What the session wrote in the former term is in the log of that primary, or was rolled back by its promotion: then
+// no member will ever cover it.
+func (r *Router) askLaterPrimary(ctx context.Context, u *unit.Unit, res unit.Result) bool {
+	if !errkind.Is(res.Err, errkind.StaleRead) || u.ConfirmPrimary || u.Require == (unit.Requirement{}) {
+		return false
+	}
+	v, ok := r.Views.View(ctx, u.Service)
+	if !ok || v.Primary == "" || v.Term <= u.Require.Term {
+		return false
+	}
+	u.ConfirmPrimary, u.Require = true, unit.Requirement{}
+	return true
+}
+
 // waitsForPrimary reports whether a unit that did not run only waits for a primary. One that the primary alone may
 // serve, and to which no connection could be opened, does so too: until its loss is detected, a killed primary refuses
 // connections, and a budget would turn away nearly all writes of that time.
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -98,6 +98,8 @@
 	sent    []string
 	budget  int
 	asked   int // refreshes of the view
+	term    platform.Term
+	units   []unit.Unit
 }
 
 func (f *fakeCluster) Service(string) (platform.Service, bool) { return svc, true }
@@ -105,7 +107,9 @@
 func (f *fakeCluster) Live() []platform.VM                     { return []platform.VM{self} }
 func (f *fakeCluster) VM(string) (platform.VM, bool)           { return platform.VM{}, false }
 func (f *fakeCluster) View(context.Context, string) (group.View, bool) {
-	return view("m-own", nil), true
+	v := view("m-own", nil)
+	v.Term = max(v.Term, f.term)
+	return v, true
 }
 func (f *fakeCluster) Latest(context.Context, string) (group.View, bool) {
 	return view("m-own", nil), true
@@ -117,6 +121,7 @@
 func (f *fakeCluster) Allow(string) bool   { f.budget--; return f.budget >= 0 }
 func (f *fakeCluster) Execute(_ context.Context, u *unit.Unit, _ unit.Sink) unit.Result {
 	f.sent = append(f.sent, u.Member)
+	f.units = append(f.units, *u)
 	res := f.results[0]
 	if len(f.results) > 1 {
 		f.results = f.results[1:]
@@ -268,3 +273,27 @@
 	}
 	require.Empty(t, p.reads)
 }
+
+// Guards against a session that reads nothing any more after its last write was rolled back by a promotion: no log will
+// ever hold that position. Within one term the wait for a replica goes on.
+func TestRolledBackPosition(t *testing.T) {
+	stale := unit.NotRun(errkind.New(errkind.StaleRead, "behind"))
+	done := unit.Result{Outcome: errkind.OutcomeDone, TxStatus: 'I'}
+	for _, c := range []struct {
+		term    platform.Term
+		primary bool
+	}{{1, false}, {2, true}} {
+		f := &fakeCluster{results: []unit.Result{stale, stale, stale, done}, budget: 9, term: c.term}
+		r := New(Options{Directory: f, Membership: f, Views: f, Local: f, Budget: f})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		u := unit.Unit{Service: "s", Target: time.Second, Require: unit.Requirement{Term: 1, Position: 50}}
+		require.NoError(t, r.Execute(ctx, &u, nil).Err)
+		last := f.units[len(f.units)-1]
+		require.Equal(t, c.primary, last.ConfirmPrimary)
+		if c.primary {
+			require.Equal(t, "m-own", last.Member)
+			require.Zero(t, last.Require)
+		}
+	}
+}
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -218,33 +218,35 @@
 	return x, d.end()
 }
 
-func (d *Decoder) statements() []unit.Statement {
+// pairs returns the number of pairs in an array whose items come in twos.
+func (d *Decoder) pairs() int {
 	n := d.array()
-	if n == 0 {
-		return nil
-	}
 	if n%2 != 0 {
 		d.fail()
+		return 0
+	}
+	return n / 2
+}
+
+func (d *Decoder) statements() []unit.Statement {
+	n := d.pairs()
+	if n == 0 {
 		return nil
 	}
-	out := make([]unit.Statement, 0, n/2)
-	for i := 0; i < n/2 && d.err == nil; i++ {
+	out := make([]unit.Statement, 0, n)
+	for i := 0; i < n && d.err == nil; i++ {
 		out = append(out, unit.Statement{Name: d.name(), Parse: d.bytes()})
 	}
 	return out
 }
 
 func (d *Decoder) values() []unit.Value {
-	n := d.array()
+	n := d.pairs()
 	if n == 0 {
 		return nil
 	}
-	if n%2 != 0 {
-		d.fail()
-		return nil
-	}
-	out := make([]unit.Value, 0, n/2)
-	for i := 0; i < n/2 && d.err == nil; i++ {
+	out := make([]unit.Value, 0, n)
+	for i := 0; i < n && d.err == nil; i++ {
 		out = append(out, unit.Value{Name: d.str(), Value: d.str()})
 	}
 	return out
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -23,7 +23,8 @@
 		Repeatable: true, Begin: true, Target: 50 * time.Millisecond, MaxAge: time.Second,
 		Require: unit.Requirement{Term: 3, Position: 1 << 33}, ConfirmPrimary: true, IdempotencyKey: "k-1",
 		Messages: []byte("messages"), Statements: []unit.Statement{{Name: "s1", Parse: []byte("parse")}},
-		Tx: unit.TxRef{VM: "vm-1", Member: "m", ID: 5},
+		Values: []unit.Value{{Name: "v", Value: "1"}, {Name: "w", Value: ""}},
+		Tx:     unit.TxRef{VM: "vm-1", Member: "m", ID: 5},
 	}}
 }
 
