Count a member that lost its state towards no majority

Cause: a member that restarted under its name without fence and log still counted towards the majority that fences and replaces a primary, so that a write acknowledged by the primary and that member alone was lost (TestEmptyMemberIsNoMajority, known red).

Change: Status.LostState. Such a member counts in no acknowledgement, confirmation, fence or election and refuses promotion, until the platform lists it under another name. Watchers start no attempt that rests on it; the log, the admin API and sycamorehubctl groups show it. The model of pkg/quorum may lose the state of one member at any time.

The walk showed that the member must refuse promotion too. A walk with several such members at once did not end within 190 s and proves nothing.

--- a/cmd/sycamorehub-emulator/main.go
+++ b/cmd/sycamorehub-emulator/main.go
@@ -58,7 +58,7 @@
 					&cli.DurationFlag{Name: "connect-delay", Usage: "for a new connection; default as in the topology"},
 					&cli.DurationFlag{Name: "service-time", Usage: "of each statement"},
 					&cli.DurationFlag{Name: "lag", Usage: "between receiving and applying an entry"},
-					&cli.UintFlag{Name: "primary-term", Usage: "initial term; 0 starts the member fenced by nobody, in no term", Value: member.FirstTerm},
+					&cli.UintFlag{Name: "primary-term", Usage: "initial term; 0 starts the member as one that lost its state: fenced by nobody, in no term", Value: member.FirstTerm},
 				},
 				Action: runMember,
 			},
--- a/emulator/member/engine.go
+++ b/emulator/member/engine.go
@@ -46,15 +46,16 @@
 type engine struct {
 	name string
 
-	mu       sync.Mutex
-	changed  chan struct{} // closed and replaced on every change
-	role     platform.Role
-	fenced   platform.Term // also the term in which the member is primary or replica
-	fencedBy string
-	leaving  bool
-	log      []entry
-	applied  int
-	tables   map[string]map[string]string
+	mu        sync.Mutex
+	changed   chan struct{} // closed and replaced on every change
+	role      platform.Role
+	fenced    platform.Term // also the term in which the member is primary or replica
+	fencedBy  string
+	leaving   bool
+	lostState bool // an earlier process of this name held a fence and a log
+	log       []entry
+	applied   int
+	tables    map[string]map[string]string
 }
 
 func newEngine(name string) *engine {
@@ -88,7 +89,7 @@
 func (e *engine) statusLocked() platform.Status {
 	s := platform.Status{
 		Member: e.name, Role: e.role, FencedTerm: e.fenced, FencedBy: e.fencedBy, Leaving: e.leaving,
-		Applied: platform.Position(e.applied),
+		Applied: platform.Position(e.applied), LostState: e.lostState,
 	}
 	s.LastTerm, s.LastPosition = e.lastLocked()
 	if e.applied > 0 {
@@ -117,6 +118,14 @@
 	e.notify()
 }
 
+// loseState marks the empty engine as that of a member that held a fence and a log before.
+func (e *engine) loseState() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lostState = true
+	e.notify()
+}
+
 // fence refuses everything below term from now on. Repeating the fence in force changes nothing.
 func (e *engine) fence(term platform.Term, promoter string) (platform.Status, error) {
 	e.mu.Lock()
@@ -132,10 +141,14 @@
 	return e.statusLocked(), nil
 }
 
-// promote makes the member the primary of term and appends the first entry of that term.
+// promote makes the member the primary of term and appends the first entry of that term. A member that lost its state
+// refuses: an attempt may have chosen it for the log that it had, and a repeated fence looks like the earlier one.
 func (e *engine) promote(term platform.Term, promoter string) (platform.Status, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.lostState {
+		return e.statusLocked(), fmt.Errorf("%w: the member lost its state; list it as a new member, under another name", errFenced)
+	}
 	if term != e.fenced || promoter != e.fencedBy {
 		return e.statusLocked(), fmt.Errorf("%w: fence of term %d by %q, request has term %d by %q", errFenced, e.fenced, e.fencedBy, term, promoter)
 	}
--- a/emulator/member/member.go
+++ b/emulator/member/member.go
@@ -109,6 +109,8 @@
 	case m.opts.Follow.ControlAddr != "":
 		m.engine.configure(platform.RoleReplica, m.opts.Term)
 		m.startPull(m.opts.Term, m.opts.Follow)
+	case m.opts.Term == 0:
+		m.engine.loseState()
 	}
 }
 
--- a/emulator/member/service.go
+++ b/emulator/member/service.go
@@ -63,7 +63,8 @@
 	return out
 }
 
-// SetTerm changes the initial term. Term 0 starts the member fenced, in no term, following nobody.
+// SetTerm changes the initial term. Term 0 starts the member as one that lost its state: fenced, in no term, following
+// nobody.
 func (o *Options) SetTerm(term uint64) {
 	o.Term = platform.Term(term)
 	if term == 0 {
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -107,6 +107,7 @@
 	Age        time.Duration     `json:"age"` // of its data; negative: not known
 	Reachable  bool              `json:"reachable"`
 	Leaving    bool              `json:"leaving"`
+	LostState  bool              `json:"lostState"` // counts towards no majority; see platform.Status
 }
 
 // VM is an entry VM as seen by this daemon.
--- a/pkg/ctl/fleet.go
+++ b/pkg/ctl/fleet.go
@@ -127,6 +127,8 @@
 	switch {
 	case !m.Reachable:
 		return "not reachable"
+	case m.LostState:
+		return "lost its state"
 	case m.Leaving:
 		return "leaving"
 	default:
--- a/pkg/daemon/adminview.go
+++ b/pkg/daemon/adminview.go
@@ -94,7 +94,7 @@
 			}
 			if mv, ok := v.Member(m.Name); ok {
 				gm.Role, gm.Position, gm.Applied = mv.Status.Role, mv.Status.LastPosition, mv.Status.Applied
-				gm.Reachable, gm.Leaving = mv.Reachable, m.Leaving || mv.Leaving
+				gm.Reachable, gm.Leaving, gm.LostState = mv.Reachable, m.Leaving || mv.Leaving, mv.Status.LostState
 				if mv.Fresh {
 					gm.Age = mv.Age
 				}
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -201,7 +201,7 @@
 		return platform.Status{}, true
 	}
 	return p.status, slices.ContainsFunc(s.members, func(m *member) bool {
-		return m != p && !m.leaving() && !slices.Contains(avoid, m.info.Name) && m.reachable() && quorum.AtLeastAsNew(m.status, p.status)
+		return m != p && m.mayLead() && !slices.Contains(avoid, m.info.Name) && m.reachable() && quorum.AtLeastAsNew(m.status, p.status)
 	})
 }
 
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -89,9 +89,9 @@
 
 // need returns the reason for a promotion that the present view gives, or "".
 func (s *service) need(now time.Time) Reason {
-	heard := 0 // members that answered lately, the primary not counted
+	heard := 0 // members that count and answered lately, the primary not counted
 	for _, m := range s.members {
-		if m != s.primary && m.answeredWithin(now, majorityWithin) {
+		if m != s.primary && m.answeredWithin(now, majorityWithin) && !m.status.LostState {
 			heard++
 		}
 	}
@@ -133,7 +133,7 @@
 // successorNear reports whether a replica that stays is close behind the leaving primary.
 func (s *service) successorNear(now time.Time) bool {
 	for _, m := range s.members {
-		if m != s.primary && !m.leaving() && m.reachable() && now.Sub(m.freshAt) < replicaFresh {
+		if m != s.primary && m.mayLead() && m.reachable() && now.Sub(m.freshAt) < replicaFresh {
 			return true
 		}
 	}
--- a/pkg/group/fake_test.go
+++ b/pkg/group/fake_test.go
@@ -302,7 +302,7 @@
 	}
 	return c.call(ctx, info, func(m *fakeMember) error {
 		s := &m.status
-		if t != s.FencedTerm || id != s.FencedBy {
+		if t != s.FencedTerm || id != s.FencedBy || s.LostState {
 			return platform.ErrFenced
 		}
 		if s.Role == platform.RolePrimary {
--- a/pkg/group/faults_test.go
+++ b/pkg/group/faults_test.go
@@ -22,6 +22,7 @@
 	faults := []func(f *fake, i int){
 		func(f *fake, i int) { f.members[i].down = true },
 		func(f *fake, i int) { f.members[i].down = false },
+		loseState,
 		func(f *fake, i int) { f.members[i].behind = !f.members[i].behind },
 		func(f *fake, i int) { f.members[i].lag = 3 - f.members[i].lag },
 		func(f *fake, i int) {
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// loseState restarts a member without its fence and log, unless another one has lost its own before.
+func loseState(f *fake, i int) {
+	if slices.ContainsFunc(f.members, func(m *fakeMember) bool { return m.status.LostState }) {
+		return
+	}
+	m := f.members[i]
+	m.log, m.status = nil, platform.Status{Role: platform.RoleFenced, LostState: true}
+}
+
 var losses = map[string]func(f *fake){
 	"kill":   func(f *fake) { f.members[0].down = true },
 	"freeze": func(f *fake) { f.members[0].frozen = make(chan struct{}) },
@@ -319,6 +328,45 @@
 	})
 }
 
+// TestLostStateIsNoSuccessor guards against an attempt to replace the primary that rests on a member without its state: the
+// attempt cannot succeed, and its fence at the other member stops the primary's writes. The service recovers with its
+// primary, and the member follows it again.
+func TestLostStateIsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake(t, 3)
+		w := f.watcher(t, "w0", 0)
+		time.Sleep(time.Second)
+		f.set(func() {
+			f.members[0].frozen = make(chan struct{})
+			loseState(f, 1)
+		})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, platform.Term(1), f.members[2].status.FencedTerm)
+		require.Zero(t, w.Stats().Attempts)
+		f.set(func() { heal(f) })
+		requireWrite(t, f, w)
+		settle(t, f)
+		require.Len(t, f.history(), 1)
+	})
+}
+
+// TestLeavingWithLostState guards against handing a leaving primary's service to a member without its state.
+func TestLeavingWithLostState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake(t, 3)
+		w := f.watcher(t, "w0", 0)
+		time.Sleep(time.Second)
+		f.set(func() {
+			loseState(f, 1)
+			f.members[0].status.Leaving = true
+		})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "m2", f.history()[2])
+		requireWrite(t, f, w)
+		settle(t, f)
+	})
+}
+
 // TestConfirmPrimary guards against confirming a replaced primary, and against one round per call.
 func TestConfirmPrimary(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/group/move.go
+++ b/pkg/group/move.go
@@ -35,11 +35,11 @@
 	return placement.Target(len(s.members), primary, func(i int) string { return s.members[i].info.Region })
 }
 
-// settled reports whether all members answer this VM, are level, stay, and are owned by a VM of their region, and
+// settled reports whether all members answer this VM, are level, stay, hold their state, and are owned by a VM of their region, and
 // whether no fence stands above the term. A region whose members or VMs are cut off is not settled.
 func (s *service) settled(now time.Time) bool {
 	for i, m := range s.members {
-		if m.failures > 0 || m.leaving() || !m.answeredWithin(now, detectionTime) || now.Sub(m.freshAt) >= replicaFresh {
+		if m.failures > 0 || !m.mayLead() || !m.answeredWithin(now, detectionTime) || now.Sub(m.freshAt) >= replicaFresh {
 			return false
 		}
 		if i >= len(s.owners) || s.owners[i].Region != m.info.Region || quorum.Term(m.status) > s.term {
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -82,6 +82,9 @@
 func (m *member) reachable() bool { return m.known && m.failures < suspectFailures }
 func (m *member) leaving() bool   { return m.info.Leaving || m.status.Leaving }
 
+// mayLead reports whether the member may be chosen to take over: it stays, and it holds what it once acknowledged.
+func (m *member) mayLead() bool { return !m.leaving() && !m.status.LostState }
+
 // lost reports whether the member has been silent, or has refused connections, for long enough to be replaced.
 func (m *member) lost(now time.Time) bool {
 	if m.reachable() {
@@ -226,6 +229,7 @@
 	}
 	unreachable := !m.reachable()
 	m.progress = !m.known || m.status != st
+	lost := st.LostState && !m.status.LostState
 	m.status, m.known, m.sent = st, true, sent
 	m.answer(now)
 	s.refresh()
@@ -236,6 +240,10 @@
 		s.log().WithFields(logrus.Fields{"member": m.name(), "role": st.Role, "term": st.LastTerm, "position": st.LastPosition}).
 			Info("member answers")
 	}
+	if lost {
+		s.log().WithFields(logrus.Fields{"member": m.name(), "role": st.Role, "term": st.LastTerm, "position": st.LastPosition}).
+			Warn("member lost its state and counts towards no majority; have the platform list it under another name")
+	}
 	if m.progress || unreachable {
 		s.changedStatus()
 	}
@@ -287,7 +295,7 @@
 	}
 	above := 0
 	for _, m := range s.members {
-		if m.known && m.status.FencedTerm > s.term {
+		if m.known && quorum.Rejects(m.status, s.term) {
 			above++
 		}
 	}
--- a/pkg/group/wait.go
+++ b/pkg/group/wait.go
@@ -118,7 +118,7 @@
 func (s *service) replaced(term platform.Term) bool {
 	n := 0
 	for _, m := range s.members {
-		if m.known && !quorum.Confirms(m.status, term) {
+		if m.known && quorum.Rejects(m.status, term) {
 			n++
 		}
 	}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -89,6 +89,9 @@
 	AppliedTerm  Term     `json:"appliedTerm" msgpack:"at"`
 	Applied      Position `json:"applied" msgpack:"ap"`
 	Leaving      bool     `json:"leaving" msgpack:"v"`
+	// LostState: the member started again under its name without the fence and the log that it had. It counts towards
+	// no majority and refuses to be promoted until the platform lists it as a new member, under another name.
+	LostState bool `json:"lostState,omitempty" msgpack:"ls,omitempty"`
 }
 
 // StatusWait asks for a status only when the last position passes After or Timeout elapses. The zero value asks
--- a/pkg/quorum/check_test.go
+++ b/pkg/quorum/check_test.go
@@ -13,11 +13,15 @@
 // TestModelHolds guards against lost acknowledged writes and second primaries under any order of events within the
 // bounds of the model.
 func TestModelHolds(t *testing.T) {
-	for name, avoid := range map[string][]string{"lost primary": nil, "leaving primary": {"a"}} {
+	for name, m := range map[string]*model{
+		"lost primary":             {entries: 3},
+		"leaving primary":          {entries: 3, avoid: []string{"a"}},
+		"member without its state": {entries: 2, loss: true, single: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			start := time.Now()
-			m := &model{rules: standardRules, entries: 3, avoid: avoid}
+			m.rules = standardRules
 			n := m.walk()
 			t.Logf("%d states in %v", n, time.Since(start))
 			require.Empty(t, m.problems)
@@ -54,8 +58,15 @@
 		"promotion after a lost fence": {rules: with(func(r *rules) {
 			r.enough = func(answers, _ int) bool { return answers > 0 }
 		})},
-		"promoters that share a name":       {rules: standardRules, sameID: true},
-		"a platform that ignores the fence": {rules: standardRules, noFence: true},
+		"a fenced member that lost its state counts": {loss: true, rules: with(func(r *rules) {
+			r.keepsState = func(platform.Status) bool { return true }
+		})},
+		"an entry at a member that lost its state counts": {loss: true, rules: with(func(r *rules) {
+			r.countsFor = func(s platform.Status, t platform.Term) bool { s.LostState = false; return CountsFor(s, t) }
+		})},
+		"a platform that promotes a member that lost its state": {rules: standardRules, loss: true, promoteLost: true},
+		"promoters that share a name":                           {rules: standardRules, sameID: true},
+		"a platform that ignores the fence":                     {rules: standardRules, noFence: true},
 	}
 	for name, m := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/quorum/key_test.go
+++ b/pkg/quorum/key_test.go
@@ -15,16 +15,20 @@
 		k[word] |= v << bits
 		bits += n
 	}
-	for _, e := range s.members {
-		put(uint64(e.fenced), 2)
-		put(uint64(e.by), 3)
-		put(uint64(e.log), 10)
-		if e.primary {
+	flag := func(v bool) {
+		if v {
 			put(1, 1)
 		} else {
 			put(0, 1)
 		}
 	}
+	for _, e := range s.members {
+		put(uint64(e.fenced), 2)
+		put(uint64(e.by), 3)
+		put(uint64(e.log), 10)
+		flag(e.primary)
+		flag(e.lost)
+	}
 	for t := 1; t <= modelTerms; t++ {
 		put(uint64(s.logs[t]), 10)
 		put(uint64(s.owner[t]), 2)
@@ -38,6 +42,7 @@
 		for _, e := range a.answers {
 			put(uint64(e.last), 2)
 			put(uint64(e.size), 3)
+			flag(e.lost)
 		}
 		put(uint64(a.chosen), 2)
 	}
--- a/pkg/quorum/model_test.go
+++ b/pkg/quorum/model_test.go
@@ -52,6 +52,7 @@
 	by      uint8 // 1 + index of the attempt whose fence stands, 0 for none
 	primary bool
 	log     entries
+	lost    bool // it restarted without its state
 }
 
 type modelState struct {
@@ -72,17 +73,21 @@
 type logEnd struct {
 	last uint8
 	size uint8 // 1 + length of the log
+	lost bool  // the member has lost its state
 }
 
 // model is one walk with given rules.
 type model struct {
-	rules    rules
-	entries  int  // bound of the log length
-	sameID   bool // both promoters use one name, as a restarted promoter without unique ids would
-	noFence  bool // a faulty platform whose Promote ignores the fence
-	avoid    []string
-	steps    map[stepKey]attemptState
-	problems []string
+	rules       rules
+	entries     int  // bound of the log length
+	sameID      bool // both promoters use one name, as a restarted promoter without unique ids would
+	noFence     bool // a faulty platform whose Promote ignores the fence
+	avoid       []string
+	loss        bool // members may restart without their state
+	promoteLost bool // a faulty platform that promotes a member without its state
+	single      bool // one attempt per term instead of two, for fewer states
+	steps       map[stepKey]attemptState
+	problems    []string
 }
 
 type stepKey struct {
@@ -103,7 +108,7 @@
 	n := platform.Position(e.log.size())
 	return platform.Status{
 		FencedTerm: platform.Term(e.fenced), LastTerm: platform.Term(e.log.last()),
-		LastPosition: n, AppliedTerm: platform.Term(e.log.last()), Applied: n,
+		LastPosition: n, AppliedTerm: platform.Term(e.log.last()), Applied: n, LostState: e.lost,
 	}
 }
 
@@ -117,6 +122,7 @@
 	for i, a := range st.answers {
 		in := Input{Kind: FenceAnswered, Member: modelNames[i], Status: platform.Status{
 			FencedTerm: platform.Term(modelTerm[k]), FencedBy: "id", LastTerm: platform.Term(a.last), LastPosition: platform.Position(a.size) - 1,
+			LostState: a.lost,
 		}}
 		if a.size == 0 {
 			in.Kind = NoAnswer
@@ -136,6 +142,7 @@
 // next calls emit with every state that one step leads to.
 func (m *model) next(s modelState, emit func(modelState)) {
 	for i := range s.members {
+		m.lose(s, i, emit)
 		m.write(s, i, emit)
 		m.replicate(s, i, emit)
 		for t := s.members[i].fenced + 1; t <= modelTerms; t++ {
@@ -154,6 +161,15 @@
 	}
 }
 
+// lose restarts a member without its state, at most one at a time.
+func (m *model) lose(s modelState, i int, emit func(modelState)) {
+	if !m.loss || slices.ContainsFunc(s.members[:], func(e modelMember) bool { return e.lost }) {
+		return
+	}
+	s.members[i] = modelMember{lost: true}
+	emit(s)
+}
+
 func (m *model) write(s modelState, i int, emit func(modelState)) {
 	if e := &s.members[i]; e.primary && e.log.size() < m.entries {
 		e.log = e.log.with(e.fenced)
@@ -187,6 +203,9 @@
 // fence delivers the fence of attempt k to member i, with and without its answer.
 func (m *model) fence(s modelState, i, k int, emit func(modelState)) {
 	e, t, id := &s.members[i], modelTerm[k], m.id(k)
+	if m.single && k%2 == 1 {
+		return
+	}
 	if t < e.fenced || t == e.fenced && id != e.by {
 		return
 	}
@@ -198,7 +217,7 @@
 	if st.chosen > 0 || st.answers[i].size > 0 {
 		return
 	}
-	st.answers[i] = logEnd{e.log.last(), uint8(e.log.size()) + 1}
+	st.answers[i] = logEnd{e.log.last(), uint8(e.log.size()) + 1, e.lost}
 	s.attempts[k] = m.step(k, st, false)
 	emit(s)
 	if s.attempts[k] = m.step(k, st, true); s.attempts[k].chosen > 0 {
@@ -217,6 +236,9 @@
 	if m.noFence && !stands {
 		stands, e.fenced = t <= e.fenced, t
 	}
+	if e.lost && !m.promoteLost {
+		return
+	}
 	if !stands || e.primary || e.log.size() >= m.entries {
 		return
 	}
--- a/pkg/quorum/promoter.go
+++ b/pkg/quorum/promoter.go
@@ -22,7 +22,7 @@
 
 // Kinds of input.
 const (
-	FenceAnswered   InputKind = iota // the member accepted the fence; Status holds its log end
+	FenceAnswered   InputKind = iota // the member accepted the fence; Status holds its log end and whether it counts
 	FenceRefused                     // the member holds a higher fence, or an equal one of another promoter
 	PromoteAnswered                  // the member is the primary of the term
 	PromoteRefused                   // the member's fence is no longer that of the attempt
@@ -128,7 +128,7 @@
 	switch in.Kind {
 	case FenceAnswered:
 		s := in.Status
-		if s.FencedTerm != p.attempt.Term || s.FencedBy != p.attempt.ID {
+		if s.FencedTerm != p.attempt.Term || s.FencedBy != p.attempt.ID || !p.rules.keepsState(s) {
 			return p.refuse(in.Member)
 		}
 		p.answers[in.Member] = s
--- a/pkg/quorum/quorum.go
+++ b/pkg/quorum/quorum.go
@@ -17,11 +17,12 @@
 
 // CountsFor reports whether a status may count towards the acknowledgement of writes of term.
 //
-// Two conditions hold. The last entry carries exactly term: an inherited tail of an older term may still be replaced.
+// Three conditions hold. The last entry carries exactly term: an inherited tail of an older term may still be replaced.
 // The fence is not above term: a fenced member may have received the entry from a later primary, and a primary
-// between the two terms may lack it, so that the write could still be lost.
+// between the two terms may lack it, so that the write could still be lost. The member has kept its state: one that
+// forgot its fence may have promised a later promoter to accept no more entries of term.
 func CountsFor(s platform.Status, term platform.Term) bool {
-	return s.LastTerm == term && s.FencedTerm <= term
+	return s.LastTerm == term && s.FencedTerm <= term && !s.LostState
 }
 
 // Acknowledged reports whether the write at (term, position) is acknowledged, given at most one status per member of
@@ -43,8 +44,15 @@
 }
 
 // Confirms reports whether a status shows that its member has accepted no fence above term. A majority of such
-// statuses, each requested after a moment, proves that the primary of term had not been replaced at that moment.
-func Confirms(s platform.Status, term platform.Term) bool { return s.FencedTerm <= term }
+// statuses, each requested after a moment, proves that the primary of term had not been replaced at that moment. A
+// member that lost its state has forgotten the fences that it accepted.
+func Confirms(s platform.Status, term platform.Term) bool {
+	return s.FencedTerm <= term && !s.LostState
+}
+
+// Rejects reports whether a status shows that its member accepts nothing of term any more: it holds a fence above it. A
+// majority of such statuses proves that the primary of term has been replaced or soon will be.
+func Rejects(s platform.Status, term platform.Term) bool { return s.FencedTerm > term && !s.LostState }
 
 // AtLeastAsNew reports whether the log of a is at least as new as that of b: first the term of the last entry, then
 // the position decides. The fenced term plays no part.
@@ -60,10 +68,12 @@
 	countsFor    func(s platform.Status, term platform.Term) bool
 	atLeastAsNew func(a, b platform.Status) bool
 	enough       func(answers, members int) bool
+	keepsState   func(s platform.Status) bool
 }
 
 var standardRules = rules{
 	countsFor:    CountsFor,
 	atLeastAsNew: AtLeastAsNew,
 	enough:       func(answers, members int) bool { return answers >= Majority(members) },
+	keepsState:   func(s platform.Status) bool { return !s.LostState },
 }
