Serve with a peer's lists after a start while the platform is down

Cause: a daemon that started without reach of the platform had no lists of VMs and services, served nobody, and counted as live among its peers, which gave it members to own.

Change: such a daemon takes the lists from the first peer that sends it a heartbeat (TypeListsRequest), 300 ms after its start at the earliest; the platform's answer replaces them later. Until it knows the services, its heartbeats say that it takes no work, so that it owns nothing.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -27,6 +27,7 @@
 	namePlatform   = "platform"
 	namePeers      = "peers"
 	nameGone       = "gone-peers"
+	nameLists      = "lists"
 	nameMembership = "membership"
 	nameDirectory  = "directory"
 	nameWatcher    = "watcher"
@@ -115,6 +116,7 @@
 		{Name: nameGone, New: newGonePeers},
 		{Name: nameMembership, New: newMembership},
 		{Name: nameDirectory, New: newDirectory},
+		{Name: nameLists, New: newListFetcher},
 		{Name: nameWatcher, New: newWatcher},
 		{Name: nameAssigner, New: newAssigner},
 		{Name: namePause, New: newPause},
--- a/pkg/daemon/heartbeat.go
+++ b/pkg/daemon/heartbeat.go
@@ -25,9 +25,13 @@
 	if cfg, err := kernel.Lookup[*configsync.Sync](k, nameConfig); err == nil {
 		cfg.Observe(from, s.ConfigVersion, s.ConfigHash)
 	}
-	if s.Lists == 0 || s.Lists == listsHash(k) {
+	own := listsHash(k)
+	if s.Lists == 0 || s.Lists == own {
 		return
 	}
+	if lists, err := kernel.Lookup[*listFetcher](k, nameLists); err == nil && own == 0 {
+		lists.offer(from)
+	}
 	if list, err := kernel.Lookup[*directory.Directory](k, nameDirectory); err == nil {
 		list.Reread()
 	}
--- /dev/null
+++ b/pkg/daemon/lists.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sycamorehub/sycamorehub/pkg/directory"
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/kernel"
+	"github.com/sycamorehub/sycamorehub/pkg/membership"
+	"github.com/sycamorehub/sycamorehub/pkg/peer"
+	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/ring"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
+)
+
+const (
+	// listPatience is left to the platform after the start, which answers within 250 ms while it is slow.
+	listPatience = 300 * time.Millisecond
+	// listTimeout bounds a request to a peer: 600 KB take 160 ms over a link of 30 Mbit/s.
+	listTimeout = time.Second
+	// listOffers bounds the peers that wait to be asked; each offers again with its next heartbeat.
+	listOffers = 8
+)
+
+// listFetcher gets the platform's lists from peers while a daemon that has started cannot read them itself: without lists
+// it knows no service and no neighbour, and serves nobody. Once it has lists, only the platform replaces them.
+type listFetcher struct {
+	k       *kernel.Kernel
+	log     logrus.FieldLogger
+	started time.Time
+	offers  *ring.Ring[platform.VM]
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func newListFetcher(k *kernel.Kernel) (any, error) {
+	return &listFetcher{k: k, log: logger(k, nameLists), started: time.Now(), done: make(chan struct{}),
+		offers: ring.New[platform.VM]("list-offers", listOffers, ring.DropOldest, 0)}, nil
+}
+
+// offer notes that a peer has lists. It does not block.
+func (l *listFetcher) offer(vm platform.VM) {
+	if time.Since(l.started) >= listPatience {
+		_ = l.offers.Put(context.Background(), vm) // drops the oldest; fails only after Stop
+	}
+}
+
+// Start begins to take offers.
+func (l *listFetcher) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	go l.run(ctx)
+	return nil
+}
+
+// Stop ends it.
+func (l *listFetcher) Stop(context.Context) error {
+	l.cancel()
+	<-l.done
+	return nil
+}
+
+func (l *listFetcher) run(ctx context.Context) {
+	defer close(l.done)
+	for {
+		vm, err := l.offers.Take(ctx)
+		if err != nil {
+			return
+		}
+		if listsHash(l.k) != 0 {
+			continue
+		}
+		if err := l.fetch(ctx, vm); err != nil && ctx.Err() == nil {
+			l.log.WithError(err).WithField("from", vm.Name).Warn("lists not fetched from a peer; asking the next one")
+		}
+	}
+}
+
+func (l *listFetcher) fetch(ctx context.Context, vm platform.VM) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	out, err := kernel.Need[*peers](l.k, namePeers).Pool.Request(ctx, vm, wire.TypeListsRequest, nil)
+	if err != nil {
+		return err
+	}
+	lists, err := wire.DecodeLists(out)
+	if err != nil {
+		return err
+	}
+	view, list := kernel.Need[*membership.View](l.k, nameMembership), kernel.Need[*directory.Directory](l.k, nameDirectory)
+	view.Adopt(lists.VMs)
+	list.Adopt(lists.Services)
+	l.log.WithFields(logrus.Fields{"from": vm.Name, "vms": len(lists.VMs), "services": len(lists.Services)}).
+		Info("took over the lists of a peer, since the platform has not answered since the start")
+	return nil
+}
+
+// listsHandler answers with the lists that this VM holds.
+func listsHandler(k *kernel.Kernel) peer.Handler {
+	view, list := kernel.Need[*membership.View](k, nameMembership), kernel.Need[*directory.Directory](k, nameDirectory)
+	return func(context.Context, platform.VM, []byte) ([]byte, error) {
+		if listsHash(k) == 0 {
+			return nil, errkind.New(errkind.NotReady, "this VM has no lists")
+		}
+		l := wire.Lists{VMs: view.List(), Services: list.Services()}
+		return l.Encode()
+	}
+}
+
+// hasServices reports whether this VM knows the services, without which it cannot serve the members that it owns.
+func hasServices(k *kernel.Kernel) bool {
+	list, err := kernel.Lookup[*directory.Directory](k, nameDirectory)
+	return err == nil && list.Ready()
+}
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -128,6 +128,7 @@
 		kernel.Need[*unitMetrics](c.k, nameUnitMetrics).ring.Stats(),
 		kernel.Need[*configsync.Sync](c.k, nameConfig).Offers(),
 		kernel.Need[*gonePeers](c.k, nameGone).ring.Stats(),
+		kernel.Need[*listFetcher](c.k, nameLists).offers.Stats(),
 	} {
 		gauge(descRingDepth, float64(st.Depth), st.Name)
 		gauge(descRingCap, float64(st.Capacity), st.Name)
--- a/pkg/daemon/serve.go
+++ b/pkg/daemon/serve.go
@@ -68,6 +68,7 @@
 	o.Executor = in
 	p := &peerServer{server: peer.NewServer(o), addr: s.Listen.Peers, intake: in}
 	p.server.Handle(wire.TypeHeartbeat, kernel.Need[*membership.View](k, nameMembership).Heartbeat)
+	p.server.Handle(wire.TypeListsRequest, listsHandler(k))
 	p.server.Handle(wire.TypeViewRequest, viewHandler(kernel.Need[watcher](k, nameWatcher)))
 	p.server.Handle(wire.TypeConfigRequest, kernel.Need[*configsync.Sync](k, nameConfig).ConfigRequest)
 	return p, nil
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -57,6 +57,7 @@
 		Transport: kernel.Need[*peers](k, namePeers).Pool,
 		Log:       logger(k, nameMembership),
 		State:     func() membership.State { return membershipState(k) },
+		CanOwn:    func() bool { return hasServices(k) },
 		OnPeer:    func(from platform.VM, s membership.State) { observePeer(k, from, s) },
 		OnGone:    kernel.Need[*gonePeers](k, nameGone).put,
 	}), nil
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -97,6 +97,13 @@
 	return nil
 }
 
+// Adopt takes over a peer's list unless this VM has one.
+func (d *Directory) Adopt(list []platform.Service) {
+	if !d.Ready() {
+		d.install(list)
+	}
+}
+
 func (d *Directory) install(list []platform.Service) {
 	old := d.current.Load()
 	if old != nil && reflect.DeepEqual(old.services, list) {
@@ -115,7 +122,7 @@
 	d.changed.Raise()
 }
 
-// Ready reports whether a list has been read since the start.
+// Ready reports whether a list has been read since the start, here or by a peer that passed it on.
 func (d *Directory) Ready() bool { return d.current.Load() != nil }
 
 // Services returns all services; callers must not change them.
--- a/pkg/membership/datacentre.go
+++ b/pkg/membership/datacentre.go
@@ -145,9 +145,8 @@
 // listed VMs count as alive.
 func (v *View) refreshDataCentres(interval time.Duration) {
 	limit, now := max(staleMinimum, staleInterval*interval), time.Now()
-	draining := v.Draining()
-	if draining != v.wasDraining {
-		v.wasDraining = draining
+	if away := v.away(); away != v.wasAway {
+		v.wasAway = away
 		v.dataCentre(v.o.Self.DataCentre).dirty = true
 	}
 	for _, d := range v.dataCentres {
@@ -236,7 +235,7 @@
 
 func (v *View) liveVMs(d *dataCentre, interval time.Duration) []platform.VM {
 	var live []platform.VM
-	if d.name == v.o.Self.DataCentre && !v.wasDraining {
+	if d.name == v.o.Self.DataCentre && !v.wasAway {
 		live = append(live, v.o.Self)
 	}
 	reports := v.reports(d.name)
--- a/pkg/membership/evidence.go
+++ b/pkg/membership/evidence.go
@@ -129,7 +129,7 @@
 // outward is the section of the own data centre, for peers in others.
 func outward(v *View) digest {
 	s := wire.Section{DataCentre: v.o.Self.DataCentre,
-		VMs: []wire.VMStatus{{VM: v.o.Self, Draining: v.Draining()}}}
+		VMs: []wire.VMStatus{{VM: v.o.Self, Draining: v.away()}}}
 	for _, p := range v.contacts {
 		if v.own(p.vm) && p.usable {
 			s.VMs = append(s.VMs, wire.VMStatus{VM: p.vm, Draining: p.draining})
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -161,7 +161,7 @@
 // is sent to one that has earlier ones.
 func (v *View) heartbeat(to platform.VM) ([]byte, error) {
 	s := v.o.State()
-	h := wire.Heartbeat{Draining: v.Draining(), ConfigVersion: s.ConfigVersion, ConfigHash: s.ConfigHash,
+	h := wire.Heartbeat{Draining: v.away(), ConfigVersion: s.ConfigVersion, ConfigHash: s.ConfigHash,
 		Owned: s.Owned, Waiting: s.Waiting, Lists: s.Lists, TakesDelta: true}
 	v.mu.Lock()
 	d, earlier := v.digestFor(to)
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -37,11 +37,26 @@
 // Read reads the list at once, and returns after that or when ctx ends.
 func (v *View) Read(ctx context.Context) { v.poller.Read(ctx) }
 
+// List returns the list as last read or adopted, nil before. Callers must not change it.
+func (v *View) List() []platform.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.list
+}
+
+// Adopt takes over a peer's list unless this VM has one.
+func (v *View) Adopt(list []platform.VM) {
+	if len(list) > 0 && !v.Ready() {
+		v.install(list)
+	}
+}
+
 // install takes over a list.
 func (v *View) install(list []platform.VM) {
 	v.listHash.Store(listpoll.Hash(list))
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.list = list
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
 		if vm.Name == v.o.Self.Name {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -75,6 +75,7 @@
 	Transport Transport
 	Log       logrus.FieldLogger
 	State     func() State                              // nil: zero state
+	CanOwn    func() bool                               // false: this VM cannot serve members yet; nil: it can
 	OnPeer    func(from platform.VM, s State)           // called for each heartbeat; must not block
 	OnGone    func(vm platform.VM)                      // called when a VM counts as gone; must not block
 	Interval  func(peersInDataCentre int) time.Duration // nil: Interval
@@ -134,14 +135,15 @@
 	// dataCentres and links are those of the last evaluation.
 	dataCentres  map[string]*dataCentre
 	links        []platform.VM
-	contacts     []*peer // peers heard or tried, by name
-	ownReachable int     // peers of the own data centre that are not gone
-	unlisted     int     // peers that the list does not name
-	placed       bool    // VMs were added or removed since links were last checked
-	inDirty      bool    // in may have changed
-	wasDraining  bool    // as of the last evaluation
-	out, in      digest  // for other data centres and for the own one
-	outPast      past    // earlier ones
+	contacts     []*peer       // peers heard or tried, by name
+	ownReachable int           // peers of the own data centre that are not gone
+	unlisted     int           // peers that the list does not name
+	placed       bool          // VMs were added or removed since links were last checked
+	inDirty      bool          // in may have changed
+	wasAway      bool          // as of the last evaluation, this VM took no work
+	list         []platform.VM // as last read or adopted, with this VM
+	out, in      digest        // for other data centres and for the own one
+	outPast      past          // earlier ones
 	inPast       past
 	stopped      bool
 }
@@ -151,6 +153,9 @@
 	if o.State == nil {
 		o.State = func() State { return State{} }
 	}
+	if o.CanOwn == nil {
+		o.CanOwn = func() bool { return true }
+	}
 	if o.Interval == nil {
 		o.Interval = Interval
 	}
@@ -188,8 +193,8 @@
 // Live returns the VMs that take work, sorted by name. Callers must not change the slice.
 func (v *View) Live() []platform.VM { return *v.live.Load() }
 
-// Ready reports whether the list has been read since the start.
-func (v *View) Ready() bool { return v.poller.Ready() }
+// Ready reports whether the list has been read since the start, here or by a peer that passed it on.
+func (v *View) Ready() bool { return v.listHash.Load() != 0 }
 
 // Changed returns a channel that is closed at the next change of Live.
 func (v *View) Changed() <-chan struct{} {
@@ -258,6 +263,20 @@
 // Draining reports whether this VM takes no new work: SetDraining was called, or the list marks it as leaving.
 func (v *View) Draining() bool { return v.draining.Load() || v.leaving.Load() }
 
+// away reports whether this VM takes no work: it drains, or it cannot serve members yet. Its peers see both as draining.
+func (v *View) away() bool { return v.Draining() || !v.o.CanOwn() }
+
+// Refresh evaluates what Options.CanOwn answers. If it has changed, all peers are told at once.
+func (v *View) Refresh() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	was := v.wasAway
+	v.evaluate()
+	if v.wasAway != was {
+		v.pushAll()
+	}
+}
+
 // SetDraining takes this VM out of Live here and tells all peers at once. Heartbeats go on.
 func (v *View) SetDraining() {
 	v.draining.Store(true)
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	waitLimit    = 9 * time.Second
-	testInterval = 40 * time.Millisecond
+	waitLimit     = 9 * time.Second
+	leavingBound  = 3 * time.Second  // P7: news of VMs that take no more work, or take it again
+	failoverBound = 16 * time.Second // of a change of primary
+	testInterval  = 40 * time.Millisecond
 )
 
 var errCut = errors.New("no route")
@@ -109,9 +111,13 @@
 }
 
 func (n *network) start(t testing.TB, vm platform.VM, interval func(int) time.Duration) *View {
+	return n.startWith(t, vm, interval, nil)
+}
+
+func (n *network) startWith(t testing.TB, vm platform.VM, interval func(int) time.Duration, canOwn func() bool) *View {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	v := New(Options{Self: vm, Lister: n, Transport: port{n, vm}, Log: log, Interval: interval,
+	v := New(Options{Self: vm, Lister: n, Transport: port{n, vm}, Log: log, Interval: interval, CanOwn: canOwn,
 		State: func() State { return State{ConfigVersion: 1100, ConfigHash: 1 << 31, Owned: 40, Waiting: 300} }})
 	n.set(func() {
 		n.views[vm.Name] = v
@@ -192,7 +198,6 @@
 // members for longer than the 16 s of a change of primary: with the intervals of a fleet of today's size and of a data
 // centre of the two-year target.
 func TestNewsReachesAllInTime(t *testing.T) {
-	const leavingBound, failoverBound = 3 * time.Second, 16 * time.Second
 	for _, perDC := range [][]int{{3, 3, 2}, {56, 2}} {
 		synctest.Test(t, func(t *testing.T) {
 			n := newNetwork(perDC...)
@@ -217,6 +222,39 @@
 	}
 }
 
+// Guards against members that are owned by a VM which has started while the platform is down and knows no service: on the
+// users' platform a third of the members was out of use until the platform returned. Such a VM that has no list itself
+// takes one from a peer.
+func TestVMWithoutListsOwnsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(3, 2)
+		all := names(n.list)
+		n.startAll(t, Interval)
+		n.eventually(t, all, nil)
+		const name = "vm-0-01"
+		old := n.views[name]
+		n.set(func() { n.down = true })
+		_ = old.Stop(context.Background())
+		var canOwn atomic.Bool
+		v := n.startWith(t, old.Self(), Interval, canOwn.Load)
+		require.NoError(t, v.Start(context.Background()))
+		t.Cleanup(func() { _ = v.Stop(context.Background()) })
+		n.eventually(t, without(all, name), nil)
+		time.Sleep(5 * time.Second)
+		n.eventually(t, without(all, name), nil)
+		require.False(t, v.Ready())
+
+		v.Adopt(n.views["vm-0-00"].List())
+		require.True(t, v.Ready())
+		require.Len(t, v.Listed(), len(all)-1)
+		begin := time.Now()
+		canOwn.Store(true)
+		v.Refresh()
+		n.eventually(t, all, nil)
+		require.LessOrEqual(t, time.Since(begin), leavingBound)
+	})
+}
+
 // Guards against views that stay apart after a data centre was cut off, or that count it as live for good.
 func TestDataCentreCutOffAndBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -51,10 +51,11 @@
 	TypeConfigRequest
 	TypeViewRequest
 	TypeCancelKey
+	TypeListsRequest
 )
 
 // IsRequest reports whether the type is answered by a Reply from a registered handler.
-func (t Type) IsRequest() bool { return t >= TypeHeartbeat && t <= TypeCancelKey }
+func (t Type) IsRequest() bool { return t >= TypeHeartbeat && t <= TypeListsRequest }
 
 // Frame is one received frame. Body of a Chunk stays valid until Release; bodies of Execute, Reply and requests belong
 // to the receiver; all others stay valid until the next call of Reader.Next.
--- a/test/fault/config_partition_test.go
+++ b/test/fault/config_partition_test.go
@@ -191,6 +191,24 @@
 	c.requireClass(2, "omuta-annex-1")
 }
 
+// TestStartWithPlatformDown covers F6 for a daemon that starts while neither the store nor the lists answer: it gets the
+// lists from a peer and the configuration from a majority of its data centre, serves callers, and serves the members that
+// it owns for others.
+func TestStartWithPlatformDown(t *testing.T) {
+	t.Parallel()
+	c := start(t, nil)
+	w := c.watchVersions()
+	w.waitInForce(2, c.apply("kurume-yard-1", 1))
+	primary, _ := c.primary()
+	restarted := c.owner(primary)
+	c.setFaults(emulator.Faults{StoreOutage: true, ListOutage: true, Silent: true})
+
+	c.restart(restarted)
+	require.NoError(t, c.WaitReady(t.Context(), restarted))
+	c.requireClass(2, restarted)
+	c.requireServed(c.startWritersOf("order", c.others(restarted)), time.Now(), "by the restarted owner of the primary")
+}
+
 // TestConfigDaemonKilledDuringApply covers P9 under F8: the daemon that applies is killed at any moment, so that its
 // answer is lost. The tool decides by reading back through another daemon or says that the outcome is unknown; then
 // repeating the operation applies it. Exactly one version results.
