--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -68,6 +68,7 @@
 	Options
 	owners     ownership.Cache
 	inProgress inProgress
+	spill      spill
 	forwarded  forwardedWrites
 }
 
@@ -197,7 +198,10 @@
 			r.Views.Refresh(u.Service) // the view that chose this member is old
 		}
 		res = combine(res, last)
-		if ctx.Err() != nil || i+1 == len(list) || !r.mayTry(list[i+1], u, res) {
+		if overloaded(last) && distance(m, r.Membership.Self()) == farthest {
+			r.spill.refuse(m.Name, u.Class, time.Now())
+		}
+		if ctx.Err() != nil || i+1 == len(list) || !r.mayTry(list[i+1], u, res, view) {
 			return res
 		}
 	}
@@ -211,12 +215,20 @@
 }
 
 // mayTry reports whether the unit goes to the next candidate of the pass. A read that one member refused for overload
-// may find another one idle; it does not leave the region for that, where bytes are paid by volume.
-func (r *Router) mayTry(next platform.Member, u *unit.Unit, res unit.Result) bool {
-	if errkind.Is(res.Err, errkind.Overload) && res.Outcome == errkind.OutcomeNotRun {
-		return !u.Write && distance(next, r.Membership.Self()) < farthest
+// may find another one idle, in its region first and then elsewhere.
+func (r *Router) mayTry(next platform.Member, u *unit.Unit, res unit.Result, view group.View) bool {
+	if !overloaded(res) {
+		return mayRepeat(u, res)
+	}
+	self := r.Membership.Self()
+	if u.Write || distance(next, self) < farthest {
+		return !u.Write
 	}
-	return mayRepeat(u, res)
+	return assess(u, next, view, self).expected() && r.spill.allows(next.Name, u.Class, time.Now())
+}
+
+func overloaded(res unit.Result) bool {
+	return errkind.Is(res.Err, errkind.Overload) && res.Outcome == errkind.OutcomeNotRun
 }
 
 func noCandidate(u *unit.Unit) error {
