Send nothing to a VM of another data centre that cannot be dialled

Cause: a VM counted as live as long as any VM reported it.

Change: a dial that fails marks the VM as unreachable from here, if it is of another data centre; units go to the next owner until a fresh connection can be opened or a heartbeat is answered.

TestUnreachableHere failed before.

--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -41,6 +41,11 @@
 		Self: kernel.Need[platform.VM](k, nameSelf), Cluster: s.Cluster,
 		Limiter: peer.NewLimiter(float64(s.Link.BitsPerSecond) / bitsPerByte), Stats: peer.NewStats(),
 		TLS: kernel.Need[*tlsConfigs](k, nameTLS).peerClient,
+		OnUnreachable: func(vm platform.VM) {
+			if view, err := kernel.Lookup[*membership.View](k, nameMembership); err == nil {
+				view.Unreachable(vm)
+			}
+		},
 		OnLost: func(vm platform.VM) {
 			if view, err := kernel.Lookup[*membership.View](k, nameMembership); err == nil {
 				view.Lost(vm)
--- a/pkg/membership/evidence.go
+++ b/pkg/membership/evidence.go
@@ -83,7 +83,7 @@
 		return false
 	case v.own(p.vm):
 		return !p.gone && (p.listed || !p.heard.IsZero())
-	case p.held(interval):
+	case p.unreached, p.held(interval):
 		return false
 	case !p.gone && p.fresh(interval):
 		return true
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -229,7 +229,7 @@
 	s := State{h.ConfigVersion, h.ConfigHash, h.Owned, h.Waiting, h.Lists}
 	v.mu.Lock()
 	p := v.peers[from.Name]
-	news := p == nil || p.gone || p.heard.IsZero() || p.draining != h.Draining
+	news := p == nil || p.gone || p.unreached || p.heard.IsZero() || p.draining != h.Draining
 	if p == nil {
 		p = &peer{vm: from}
 		v.peers[from.Name] = p
@@ -239,6 +239,9 @@
 		p.identify(from)
 	}
 	p.heard, p.gone, p.draining, p.state, p.seen = time.Now(), false, h.Draining, s, h.Seen
+	if !named { // a request of the peer does not show that this VM reaches it
+		p.unreached = false
+	}
 	p.deltas = h.TakesDelta
 	if news || p.vm != before {
 		v.touch(p)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -86,22 +86,23 @@
 
 // peer is what is known of another VM.
 type peer struct {
-	vm       platform.VM
-	told     string // address that the VM's own requests last named
-	moved    bool   // they named another address than before: the VM was replaced and the list lags
-	listed   bool
-	heard    time.Time // last message; zero: never
-	gone     bool      // neither the last connection nor a fresh one answered
-	goneAt   time.Time
-	draining bool
-	state    State
-	sections []wire.Section // as last received
-	digest   uint32         // names their content
-	seen     uint32         // digest of this daemon's sections that the peer has
-	offered  uint32         // digest of those that it was sent last, if any were
-	sent     bool
-	deltas   bool  // it takes deltas
-	loop     *loop // nil when there is no heartbeat link
+	vm        platform.VM
+	told      string // address that the VM's own requests last named
+	moved     bool   // they named another address than before: the VM was replaced and the list lags
+	listed    bool
+	heard     time.Time // last message; zero: never
+	gone      bool      // neither the last connection nor a fresh one answered
+	goneAt    time.Time
+	unreached bool // no connection could be opened to it, which is in another data centre; see View.Unreachable
+	draining  bool
+	state     State
+	sections  []wire.Section // as last received
+	digest    uint32         // names their content
+	seen      uint32         // digest of this daemon's sections that the peer has
+	offered   uint32         // digest of those that it was sent last, if any were
+	sent      bool
+	deltas    bool  // it takes deltas
+	loop      *loop // nil when there is no heartbeat link
 
 	dc                  *dataCentre // set by touch, as are the next three
 	contact             bool        // heard or tried since it was added
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -222,6 +222,41 @@
 	}
 }
 
+// Guards against units that a VM sends to an owner which it cannot reach while others report it as alive, for as long as
+// the network is cut between the two: on the users' platform a quarter of one VM's reads of a service were lost for 5 s.
+func TestUnreachableHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(2, 3)
+		all := names(n.list)
+		n.startAll(t, Interval)
+		n.eventually(t, all, nil)
+		const here, there = "vm-0-00", "vm-1-01"
+		n.set(func() {
+			n.cut = func(a, b platform.VM) bool {
+				return a.Name == here && b.Name == there || a.Name == there && b.Name == here
+			}
+		})
+		time.Sleep(10 * time.Second)
+		v := n.views[here]
+		target, _ := v.VM(there)
+		v.Unreachable(target)
+		for range 100 { // whatever the others report
+			require.Equal(t, without(all, there), names(v.Live()))
+			time.Sleep(100 * time.Millisecond)
+		}
+		n.eventually(t, all, func(o *View) bool { return o != v })
+
+		n.set(func() { n.cut = nil })
+		begin := time.Now()
+		n.eventually(t, all, nil)
+		require.LessOrEqual(t, time.Since(begin), leavingBound)
+
+		own, _ := v.VM("vm-0-01")
+		v.Unreachable(own)
+		require.Equal(t, all, names(v.Live()), "heartbeats decide in the own data centre")
+	})
+}
+
 // Guards against members that are owned by a VM which has started while the platform is down and knows no service: on the
 // users' platform a third of the members was out of use until the platform returned. Such a VM that has no list itself
 // takes one from a peer.
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -57,6 +57,8 @@
 	// Executor runs forwarded units. Only the Server uses it. Rollback of a transaction isn't called while a unit of
 	// that transaction runs.
 	Executor unit.Executor
+	// OnUnreachable is called when no connection to a VM could be opened. It must not block. Only the Pool uses it.
+	OnUnreachable func(vm platform.VM)
 	// OnLost is called when an established control connection breaks, so that membership checks the VM at once. It
 	// must not block. Connections that this daemon closed itself are not reported.
 	OnLost func(vm platform.VM)
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -188,6 +188,9 @@
 	i := index(purpose)
 	p.opts.Stats.Dials.Add(1)
 	l, err := dialLink(p.ctx, &p.opts, vm, purpose)
+	if err != nil && p.opts.OnUnreachable != nil && p.ctx.Err() == nil {
+		p.opts.OnUnreachable(vm)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer close(d.done)
