Keep heartbeats of the links out of TestSectionsTravelAsDeltas

Cause: the test counts the bytes of exchanges between two views whose link sends a first heartbeat of its own within 20 ms.

Change: the test runs in virtual time, which does not advance within it.

The bounds are unchanged.

--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -359,10 +359,15 @@
 // Guards against sections that are sent again in full when little of them changes: a data centre of 56 VMs costs a node
 // with links 4 KB for each peer. Peers of an older version still get all.
 func TestSectionsTravelAsDeltas(t *testing.T) {
+	synctest.Test(t, testSectionsTravelAsDeltas) // no heartbeat of the links' own falls between the exchanges
+}
+
+func testSectionsTravelAsDeltas(t *testing.T) {
 	const perDC, limit = 56, 200 // bytes
 	n := newNetwork(2, perDC, perDC)
 	a, b := n.start(t, n.list[0], fast), n.start(t, n.list[1], fast)
 	for _, v := range n.views {
+		defer func() { _ = v.Stop(context.Background()) }()
 		v.install(n.list)
 	}
 	speakers := []platform.VM{n.list[2], n.list[2+perDC]}
