Let a primary of unknown age confirm that it leads

Change: where members assure that they lead (Guarantees.Primary), such a read runs with ConfirmPrimary. Replicas and transactions are refused as before.

TestPrimaryOfUnknownAgeConfirmsItself failed before. Not measured by itself.

--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -408,7 +408,7 @@
 }
 
 // checkAge refuses a read that accepts no data as old as the member's. Within a transaction the age at its start
-// counts, and a confirmed primary held all that was acknowledged before the read.
+// counts, and a confirmed primary held all that was acknowledged before the read. The primary may have to confirm itself.
 func (o *Owner) checkAge(u *unit.Unit) error {
 	if u.Write || u.MaxAge == 0 || u.Tx.Open() || u.ConfirmPrimary {
 		return nil
@@ -416,5 +416,20 @@
 	if m, ok := o.watcher.Member(u.Service, o.member.Name); ok && m.Fresh && m.Age <= u.MaxAge {
 		return nil
 	}
+	if o.mayConfirm(u) {
+		u.ConfirmPrimary = true
+		return nil
+	}
 	return errkind.New(errkind.StaleRead, "member %q is older than the %v that the class accepts", o.member.Name, u.MaxAge)
 }
+
+// mayConfirm reports whether the member can show by itself that its data is of no age: as the primary it refuses the unit
+// unless it still leads. Its age is not known to a VM that reaches no majority of the members, such as one that is cut off
+// from the others together with the primary.
+func (o *Owner) mayConfirm(u *unit.Unit) bool {
+	if !o.assured.Primary || u.Begin {
+		return false
+	}
+	primary, _, ok := o.watcher.Primary(u.Service)
+	return ok && primary == o.member.Name
+}
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -170,6 +170,36 @@
 	}
 }
 
+// Guards against reads that are refused at the primary because its age cannot be measured: a VM that is cut off together with
+// the primary reaches no majority. The member must then confirm that it leads; without that, or at a replica, it is no proof.
+func TestPrimaryOfUnknownAgeConfirmsItself(t *testing.T) {
+	for name, c := range map[string]struct {
+		primary string
+		assured bool
+		begin   bool
+		runs    int
+	}{
+		"primary":                       {"m1", true, false, 1},
+		"replica":                       {"m2", true, false, 0},
+		"platform does not confirm":     {"m1", false, false, 0},
+		"transaction, which stays open": {"m1", true, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, p := newFakeWatcher(c.primary), &fakePool{}
+			w.view.Members[0].Fresh = false
+			o := newTestOwner(t, w, p, 4)
+			o.Assured(platform.Guarantees{Primary: c.assured})
+			u := unit.Unit{Service: "s", MaxAge: time.Second, Begin: c.begin}
+			res := o.Execute(context.Background(), &u, nil)
+			require.Equal(t, c.runs, p.runs)
+			require.Equal(t, c.runs == 1, u.ConfirmPrimary)
+			if c.runs == 0 {
+				require.True(t, errkind.Is(res.Err, errkind.StaleRead), "%v", res.Err)
+			}
+		})
+	}
+}
+
 // Guards against reads that are refused because the owner has just begun to watch the service.
 func TestReadWaitsForFirstStatus(t *testing.T) {
 	w, p := newFakeWatcher("m2"), &fakePool{}
