Claim the duty to promote before it is needed

Cause: the fence of a promotion was claimed in the platform's store at the moment of the promotion. While the store was down, a VM that had not promoted the service before had no fence, and a lost primary was not replaced until the store came back.

Change: the first two promoters of a service claim the duty when they become that, spread over 10 s, and again after each change of primary (platform.PromotionPreparer, pkg/group/prepare.go). A promotion orders with the fence that it has and claims another one only if that is refused. Three refusals drop a fence, since a member that is not running has it refused too.

--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -55,6 +55,7 @@
 	origin time.Time // of the grid of polls
 
 	logAttempt loglimit.Limiter // by service
+	logPrepare loglimit.Limiter // by service
 
 	mu       sync.Mutex
 	closed   bool
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
@@ -367,6 +370,63 @@
 	})
 }
 
+// preparer counts the preparations of a watcher's control access; it fails while down is set.
+type preparer struct {
+	fakeControl
+	down atomic.Bool
+	n    atomic.Int32
+}
+
+func (p *preparer) PreparePromotion(context.Context, string) error {
+	if p.down.Load() {
+		return platform.ErrUnavailable
+	}
+	p.n.Add(1)
+	return nil
+}
+
+// TestPreparesPromotions guards against a primary that cannot be replaced because the table service is down at that moment,
+// and against a claim with every assignment.
+func TestPreparesPromotions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake(t, 3)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		var watchers []*Watcher
+		var controls []*preparer
+		assign := func(rank int) Assignment {
+			return Assignment{Service: f.service(), PromoterRank: rank, Owners: make([]platform.VM, 3)}
+		}
+		for rank := range 3 {
+			c := &preparer{fakeControl: fakeControl{f, fmt.Sprint("w", rank)}}
+			c.down.Store(rank == 1)
+			w := New(Options{Self: c.vm, Control: c, Log: log})
+			w.SetServices([]Assignment{assign(rank)})
+			t.Cleanup(func() { f.set(func() { heal(f) }); w.Close() })
+			watchers, controls = append(watchers, w), append(controls, c)
+		}
+		prepared := func() (out []int32) {
+			for _, c := range controls {
+				out = append(out, c.n.Load())
+			}
+			return out
+		}
+		time.Sleep(prepareSpread)
+		require.Equal(t, []int32{1, 0, 0}, prepared())
+		controls[1].down.Store(false)
+		for range 20 {
+			time.Sleep(prepareRetry)
+			for rank, w := range watchers {
+				w.SetServices([]Assignment{assign(rank)})
+			}
+		}
+		require.Equal(t, []int32{1, 1, 0}, prepared(), "once a term, by the first two promoters")
+		f.set(func() { f.members[0].down = true })
+		time.Sleep(2*detectionTime + prepareSpread)
+		require.Equal(t, []int32{2, 2, 0}, prepared(), "another promoter may hold a later fence now")
+	})
+}
+
 // TestConfirmPrimary guards against confirming a replaced primary, and against one round per call.
 func TestConfirmPrimary(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -39,6 +39,8 @@
 	rounds    rounds
 	election  election
 	placement placement.Rule
+	preparing bool          // a goroutine prepares for a promotion
+	prepared  platform.Term // term for whose end this VM is prepared, 0 for none
 	relay     relay
 	version   uint32 // of the members' statuses, never 0; starts at random, since a restarted lead must not repeat one
 }
@@ -150,6 +152,7 @@
 		s.wakeAll()
 	}
 	s.rank, s.owners = a.PromoterRank, a.Owners
+	s.preparePromotion()
 	if lead, _ := s.lead(); lead.Name != before.Name {
 		s.leadChanged()
 	}
@@ -255,6 +258,7 @@
 	s.derive()
 	if s.primary != before {
 		s.leadChanged()
+		s.preparePromotion()
 		s.log().WithFields(logrus.Fields{"primary": s.primary.name(), "before": before.name(), "term": s.term}).
 			Info("primary changed in this VM's view")
 	}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -110,6 +110,12 @@
 	Follow(ctx context.Context, m Member, term Term, primary Member) (Status, error)
 }
 
+// PromotionPreparer is implemented by a MemberControl whose promotions need something of the table service. A promoter calls
+// it ahead, so that a promotion does not depend on the table service being up when the primary is lost.
+type PromotionPreparer interface {
+	PreparePromotion(ctx context.Context, service string) error
+}
+
 // Guarantees are what the endpoints of an installation assure by themselves. What they do not assure is checked by the
 // owners of members, at the cost of requests to a majority of the members.
 type Guarantees struct {
