Bound what peers' messages allocate; mends found in review

Cause: a new fuzz target showed that decoding lists from a peer ran out of memory: the library allocates a slice of the length that a message claims. The same held for views and relayed statuses of pkg/group.

Change: lists are decoded entry by entry, up to 32,768; the other messages are read through before they are decoded (wire.Unmarshal). Adopt checks and installs in one step, one goroutine a VM tries again, the log line is limited.

--- a/pkg/daemon/lists.go
+++ b/pkg/daemon/lists.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/directory"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
+	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
@@ -32,6 +33,7 @@
 	log     logrus.FieldLogger
 	started time.Time
 	offers  *ring.Ring[platform.VM]
+	failed  loglimit.Limiter
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -74,7 +76,9 @@
 			continue
 		}
 		if err := l.fetch(ctx, vm); err != nil && ctx.Err() == nil {
-			l.log.WithError(err).WithField("from", vm.Name).Warn("lists not fetched from a peer; asking the next one")
+			if log, ok := l.failed.Allow(l.log.WithField("from", vm.Name), vm.Name); ok {
+				log.WithError(err).Warn("lists not fetched from a peer; asking the next one")
+			}
 		}
 	}
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -97,10 +97,10 @@
 	return nil
 }
 
-// Adopt takes over a peer's list unless this VM has one.
+// Adopt takes over a peer's list unless this VM has one, also if it gets one at the same moment.
 func (d *Directory) Adopt(list []platform.Service) {
-	if !d.Ready() {
-		d.install(list)
+	if d.current.CompareAndSwap(nil, newSnapshot(list)) {
+		d.changed.Raise()
 	}
 }
 
@@ -109,6 +109,11 @@
 	if old != nil && reflect.DeepEqual(old.services, list) {
 		return
 	}
+	d.current.Store(newSnapshot(list))
+	d.changed.Raise()
+}
+
+func newSnapshot(list []platform.Service) *snapshot {
 	s := &snapshot{services: list, byName: map[string]*platform.Service{}, databases: map[string][]string{}, hash: listpoll.Hash(list)}
 	for i := range list {
 		svc := &list[i]
@@ -118,8 +123,7 @@
 	for _, names := range s.databases {
 		sort.Strings(names)
 	}
-	d.current.Store(s)
-	d.changed.Raise()
+	return s
 }
 
 // Ready reports whether a list has been read since the start, here or by a peer that passed it on.
--- /dev/null
+++ b/pkg/group/fuzz_test.go
@@ -0,0 +1,27 @@
+package group
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/platform"
+)
+
+// Guards against a decoder that allocates what a peer's message only claims, or fails on bytes of another kind.
+func FuzzDecodeViews(f *testing.F) {
+	v := View{Service: "s", Term: 2, Primary: "m", Version: 7, Members: []MemberView{{Name: "m", Known: true, Status: platform.Status{Member: "m"}}}}
+	body, err := EncodeLookup(v, 0)
+	require.NoError(f, err)
+	f.Add(body)
+	r := Relayed{}
+	body, err = r.Encode()
+	require.NoError(f, err)
+	f.Add(body)
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte("\x82\xa1m\xdd\xba\xcb\xcb\xcb\xcb"))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		_, _, _ = DecodeLookup(body, v)
+		_, _ = DecodeRelayed(body)
+	})
+}
--- a/pkg/group/lookup.go
+++ b/pkg/group/lookup.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
 // Lookups. A VM that does not watch a service asks an owner for its view. One that names the version it holds gets only
@@ -59,13 +60,13 @@
 // returns ErrLookup when the answer is none to a lookup of that version.
 func DecodeLookup(body []byte, held View) (v View, same bool, err error) {
 	if len(body) == 0 || !isArray(body[0]) {
-		return v, false, msgpack.Unmarshal(body, &v)
+		return v, false, wire.Unmarshal(body, &v)
 	}
 	var u unchanged
 	if n, err := msgpack.NewDecoder(bytes.NewReader(body)).DecodeArrayLen(); err != nil || n != unchangedFields {
 		return v, false, ErrLookup
 	}
-	if err := msgpack.Unmarshal(body, &u); err != nil {
+	if err := wire.Unmarshal(body, &u); err != nil {
 		return v, false, fmt.Errorf("%w: %w", ErrLookup, err)
 	}
 	if u.Version == 0 || u.Version != held.Version || len(u.Members) != len(held.Members) {
--- a/pkg/group/move.go
+++ b/pkg/group/move.go
@@ -35,8 +35,8 @@
 	return placement.Target(len(s.members), primary, func(i int) string { return s.members[i].info.Region })
 }
 
-// settled reports whether all members answer this VM, are level, stay, hold their state, and are owned by a VM of their region, and
-// whether no fence stands above the term. A region whose members or VMs are cut off is not settled.
+// settled reports whether all members answer this VM, are level, stay, hold their state, and are owned by a VM of their
+// region, and // whether no fence stands above the term. A region whose members or VMs are cut off is not settled.
 func (s *service) settled(now time.Time) bool {
 	for i, m := range s.members {
 		if m.failures > 0 || !m.mayLead() || !m.answeredWithin(now, detectionTime) || now.Sub(m.freshAt) >= replicaFresh {
--- a/pkg/group/prepare.go
+++ b/pkg/group/prepare.go
@@ -19,8 +19,8 @@
 	prepareTimeout = time.Second
 )
 
-// preparePromotion begins to get ready for a promotion: when this VM becomes one of the first promoters, and again after each change
-// of primary, since another promoter then holds a later fence. The caller holds mu.
+// preparePromotion begins to get ready for a promotion: when this VM becomes one of the first promoters, and again after
+// each change of primary, since another promoter then holds a later fence. The caller holds mu.
 func (s *service) preparePromotion() {
 	c, ok := s.w.opts.Control.(platform.PromotionPreparer)
 	if !ok || s.preparing || !s.unprepared() {
--- a/pkg/group/relay.go
+++ b/pkg/group/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/quorum"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
 // Relays. Of the watchers of a service the lead, which is the owner of the primary, polls all members: it needs their
@@ -60,7 +61,7 @@
 
 // DecodeRelayed decodes a message of Encode. The view that an older version answers decodes as not leading.
 func DecodeRelayed(body []byte) (r Relayed, err error) {
-	err = msgpack.Unmarshal(body, &r)
+	err = wire.Unmarshal(body, &r)
 	return r, err
 }
 
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -44,18 +44,24 @@
 	return v.list
 }
 
-// Adopt takes over a peer's list unless this VM has one.
+// Adopt takes over a peer's list unless this VM has one, also if it gets one at the same moment.
 func (v *View) Adopt(list []platform.VM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if len(list) > 0 && !v.Ready() {
-		v.install(list)
+		v.installLocked(list)
 	}
 }
 
 // install takes over a list.
 func (v *View) install(list []platform.VM) {
-	v.listHash.Store(listpoll.Hash(list))
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.installLocked(list)
+}
+
+func (v *View) installLocked(list []platform.VM) {
+	v.listHash.Store(listpoll.Hash(list))
 	v.list = list
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -94,6 +94,7 @@
 	gone      bool      // neither the last connection nor a fresh one answered
 	goneAt    time.Time
 	unreached bool // no connection could be opened to it, which is in another data centre; see View.Unreachable
+	retrying  bool // a goroutine tries to reach it again
 	draining  bool
 	state     State
 	sections  []wire.Section // as last received
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -30,14 +30,15 @@
 
 // network joins views in memory and counts the bytes of their frames. cut says which pairs don't reach each other.
 type network struct {
-	mu    sync.Mutex
-	views map[string]*View
-	cut   func(a, b platform.VM) bool
-	bytes map[string]*atomic.Int64 // sent and received, by VM
-	list  []platform.VM
-	down  bool
-	dark  bool          // a VM that is gone does not refuse connections either
-	slow  time.Duration // before an answer
+	mu     sync.Mutex
+	views  map[string]*View
+	cut    func(a, b platform.VM) bool
+	bytes  map[string]*atomic.Int64 // sent and received, by VM
+	list   []platform.VM
+	down   bool
+	probes int
+	dark   bool          // a VM that is gone does not refuse connections either
+	slow   time.Duration // before an answer
 }
 
 func (n *network) VMs(context.Context) ([]platform.VM, error) {
@@ -77,6 +78,7 @@
 }
 
 func (p port) Probe(ctx context.Context, vm platform.VM) error {
+	p.set(func() { p.probes++ })
 	if p.target(vm) != nil {
 		return nil
 	}
@@ -303,6 +305,20 @@
 		n.eventually(t, all, nil)
 		require.LessOrEqual(t, time.Since(begin), leavingBound)
 
+		n.set(func() { n.probes = 0 })
+		for range 100 { // dials fail while heartbeats are answered
+			v.Unreachable(target)
+			v.mu.Lock()
+			v.peers[there].unreached = false
+			v.mu.Unlock()
+		}
+		v.Unreachable(target)
+		n.set(func() { n.cut = func(a, b platform.VM) bool { return a.Name == here && b.Name == there } })
+		time.Sleep(5 * time.Second)
+		n.set(func() { require.LessOrEqual(t, n.probes, int(5*time.Second/(goneRetry/2))) })
+		n.set(func() { n.cut = nil })
+		n.eventually(t, all, nil)
+
 		own, _ := v.VM("vm-0-01")
 		v.Unreachable(own)
 		require.Equal(t, all, names(v.Live()), "heartbeats decide in the own data centre")
--- a/pkg/membership/unreached.go
+++ b/pkg/membership/unreached.go
@@ -26,8 +26,11 @@
 		log.WithField("vm", vm.Name).Warn("no connection to an entry VM of another data centre can be opened; " +
 			"this VM sends it nothing until one can")
 	}
-	v.wg.Add(1)
-	go v.retryUnreached(vm.Name)
+	if !p.retrying {
+		p.retrying = true
+		v.wg.Add(1)
+		go v.retryUnreached(vm.Name)
+	}
 }
 
 // retryUnreached tries to connect to a VM that could not be reached until it answers or is no longer known.
@@ -44,6 +47,9 @@
 		v.mu.Lock()
 		p := v.peers[name]
 		if p == nil || !p.unreached {
+			if p != nil {
+				p.retrying = false
+			}
 			v.mu.Unlock()
 			return
 		}
@@ -53,8 +59,7 @@
 		err := v.o.Transport.Probe(ctx, vm)
 		cancel()
 		if err == nil {
-			v.reached(name)
-			return
+			v.reached(name) // the next round ends this
 		}
 		timer.Reset(goneRetry/2 + rand.N(goneRetry))
 	}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -62,9 +62,9 @@
 
 // Service is one replicated database.
 type Service struct {
-	Name     string   `json:"name" msgpack:"n"`
-	Database string   `json:"database" msgpack:"d"`
-	Members  []Member `json:"members" msgpack:"m"`
+	Name     string   `json:"name"`
+	Database string   `json:"database"`
+	Members  []Member `json:"members"`
 }
 
 // Role of a member within its service.
--- a/pkg/wire/lists.go
+++ b/pkg/wire/lists.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -11,18 +12,85 @@
 // Lists answers a request of TypeListsRequest, which has no body: the platform's lists as the peer last read them. At the
 // size of 670 VMs and 1,200 services of three members it takes some 600 KB, below MaxFrame.
 type Lists struct {
-	VMs      []platform.VM      `msgpack:"v"`
-	Services []platform.Service `msgpack:"s"`
+	VMs      []platform.VM
+	Services []platform.Service
 }
 
-// Encode returns the encoded message.
-func (l *Lists) Encode() ([]byte, error) { return msgpack.Marshal(l) }
+// Encode returns the encoded message: the number of VMs and the VMs, then the number of services and for each its name,
+// database, number of members and members.
+func (l *Lists) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	e := msgpack.NewEncoder(&buf)
+	values := []any{len(l.VMs)}
+	for i := range l.VMs {
+		values = append(values, &l.VMs[i])
+	}
+	values = append(values, len(l.Services))
+	for i := range l.Services {
+		s := &l.Services[i]
+		values = append(values, s.Name, s.Database, len(s.Members))
+		for j := range s.Members {
+			values = append(values, &s.Members[j])
+		}
+	}
+	if err := e.EncodeMulti(values...); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
 
-// DecodeLists decodes the message.
+// maxListed bounds the entries of a message, of both lists and of members: more than six times those of 670 VMs and 1,200
+// services.
+const maxListed = 1 << 15
+
+// DecodeLists decodes the message. Its memory is bounded, whatever numbers the message claims: the library would allocate a
+// slice of the claimed length at once.
 func DecodeLists(body []byte) (Lists, error) {
 	var l Lists
-	if err := msgpack.Unmarshal(body, &l); err != nil {
+	d := &listDecoder{Decoder: msgpack.NewDecoder(bytes.NewReader(body)), left: maxListed}
+	err := d.each(func() error {
+		l.VMs = append(l.VMs, platform.VM{})
+		return d.Decode(&l.VMs[len(l.VMs)-1])
+	})
+	if err == nil {
+		err = d.each(func() error {
+			l.Services = append(l.Services, platform.Service{})
+			return d.service(&l.Services[len(l.Services)-1])
+		})
+	}
+	if err != nil {
 		return Lists{}, fmt.Errorf("%w: lists: %w", ErrMalformed, err)
 	}
 	return l, nil
 }
+
+func (d *listDecoder) service(s *platform.Service) error {
+	if err := d.DecodeMulti(&s.Name, &s.Database); err != nil {
+		return err
+	}
+	return d.each(func() error {
+		s.Members = append(s.Members, platform.Member{})
+		return d.Decode(&s.Members[len(s.Members)-1])
+	})
+}
+
+// listDecoder decodes a bounded number of entries.
+type listDecoder struct {
+	*msgpack.Decoder
+	left int
+}
+
+// each reads a number and calls decode so many times, or until it fails.
+func (d *listDecoder) each(decode func() error) error {
+	n, err := d.DecodeInt()
+	if err != nil {
+		return err
+	}
+	if d.left -= n; n < 0 || d.left < 0 {
+		return fmt.Errorf("%d entries and more, the limit is %d", maxListed-d.left, maxListed)
+	}
+	for ; err == nil && n > 0; n-- {
+		err = decode()
+	}
+	return err
+}
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -246,3 +246,22 @@
 		f.Release()
 	}
 }
+
+// Guards against lists that change on their way, and against a decoder that fails on bytes of another kind.
+func FuzzLists(f *testing.F) {
+	l := Lists{VMs: []platform.VM{{Name: "a", DataCentre: "d", Region: "r", PeerAddr: "10.0.0.1:7000", State: platform.VMLive}},
+		Services: []platform.Service{{Name: "s", Database: "b", Members: []platform.Member{{Name: "m", Slots: 2, Leaving: true}}}}}
+	body, err := l.Encode()
+	require.NoError(f, err)
+	got, err := DecodeLists(body)
+	require.NoError(f, err)
+	require.Equal(f, l, got)
+	f.Add(body)
+	f.Add(body[:len(body)/2])
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if _, err := DecodeLists(body); err != nil {
+			require.ErrorIs(t, err, ErrMalformed)
+		}
+	})
+}
