--- a/pkg/group/move.go
+++ b/pkg/group/move.go
@@ -36,7 +36,7 @@
 }
 
 // settled reports whether all members answer this VM, are level, stay, hold their state, and are owned by a VM of their
-// region, and // whether no fence stands above the term. A region whose members or VMs are cut off is not settled.
+// region, and whether no fence stands above the term. A region whose members or VMs are cut off is not settled.
 func (s *service) settled(now time.Time) bool {
 	for i, m := range s.members {
 		if m.failures > 0 || !m.mayLead() || !m.answeredWithin(now, detectionTime) || now.Sub(m.freshAt) >= replicaFresh {
--- a/pkg/membership/unreached.go
+++ b/pkg/membership/unreached.go
@@ -59,7 +59,7 @@
 		err := v.o.Transport.Probe(ctx, vm)
 		cancel()
 		if err == nil {
-			v.reached(name) // the next round ends this
+			v.reached(name) // ends the loop after the next wait, unless a dial has failed again
 		}
 		timer.Reset(goneRetry/2 + rand.N(goneRetry))
 	}
