--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/listpoll"
+	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
 )
@@ -32,8 +33,11 @@
 
 	current atomic.Pointer[snapshot]
 	changed ring.Signal
-	cancel  context.CancelFunc
-	done    chan struct{}
+
+	skipLogLimit loglimit.Limiter
+
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // snapshot is one version of the list with its indexes. It is not modified once it is published.
@@ -95,14 +99,39 @@
 		d.log.WithError(err).Debug("cannot read the service list; keeping the last one")
 		return err
 	}
-	d.applyList(list)
+	d.applyList(d.withoutInvalid(list))
 	return nil
 }
 
+// withoutInvalid returns the list without the members that cannot be used. It returns the list itself if all can be used.
+func (d *Directory) withoutInvalid(list []platform.Service) []platform.Service {
+	isInvalid := func(m platform.Member) bool { return m.Validate() != nil }
+	hasInvalid := func(s platform.Service) bool { return slices.ContainsFunc(s.Members, isInvalid) }
+	if !slices.ContainsFunc(list, hasInvalid) {
+		return list
+	}
+	out := slices.Clone(list)
+	for i := range out {
+		for _, m := range out[i].Members {
+			if err := m.Validate(); err != nil {
+				d.logSkipped(m, err)
+			}
+		}
+		out[i].Members = slices.DeleteFunc(slices.Clone(out[i].Members), isInvalid)
+	}
+	return out
+}
+
+func (d *Directory) logSkipped(m platform.Member, err error) {
+	if log, ok := d.skipLogLimit.Allow(d.log, m.Name); ok {
+		log.WithError(err).WithField("member", m.Name).Warn("member in the service list cannot be used; ignoring it")
+	}
+}
+
 // Adopt uses a list received from a peer, unless this VM has one already. A list that is read at the same time takes
 // precedence.
 func (d *Directory) Adopt(list []platform.Service) {
-	if d.current.CompareAndSwap(nil, newSnapshot(list)) {
+	if d.current.CompareAndSwap(nil, newSnapshot(d.withoutInvalid(list))) {
 		d.changed.Raise()
 	}
 }
--- a/pkg/wire/lists.go
+++ b/pkg/wire/lists.go
@@ -47,6 +47,9 @@
 // are decoded one by one, since the msgpack library would at once allocate a slice of the claimed length.
 func DecodeLists(body []byte) (Lists, error) {
 	var l Lists
+	if err := checkNesting(body); err != nil {
+		return Lists{}, fmt.Errorf("%w: lists: %w", ErrMalformed, err)
+	}
 	d := &listDecoder{Decoder: msgpack.NewDecoder(bytes.NewReader(body)), entriesLeft: maxListEntries}
 	err := d.decodeEntries(func() error {
 		l.VMs = append(l.VMs, platform.VM{})
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -267,3 +267,16 @@
 		}
 	})
 }
+
+// A message that is nested more deeply than any that a daemon sends must be refused: the msgpack library decodes by recursion,
+// and a stack that outgrows the limit of the runtime ends the process.
+func TestNestedMessagesAreRefused(t *testing.T) {
+	nested := append(bytes.Repeat([]byte{0x91}, MaxFrame/2), 0xc0)
+	var v struct{ A int }
+	unknownField := append([]byte{0x81, 0xa1, 'x'}, nested...)
+	require.ErrorIs(t, Unmarshal(unknownField, &v), ErrMalformed)
+	_, err := DecodeLists(append([]byte{0x01}, unknownField...))
+	require.ErrorIs(t, err, ErrMalformed)
+	require.NoError(t, Unmarshal([]byte{0x82, 0xa1, 'A', 0x07, 0xa1, 'x', 0x92, 0x91, 0xc0, 0x80}, &v), "unknown fields are passed over")
+	require.Equal(t, 7, v.A)
+}
