pkg/panics: an unexpected error ends one session, request or read, not the daemon

Cause: no goroutine of the daemon recovered from a panic, so that one unexpected error in a caller's session, a peer's frame, unit or request, or a read of a list ended the process and with it every session of the VM. Change: these end alone; the outcome of a unit is unknown, the transaction of a session is rolled back, the panic is logged with its stack (limited) and counted in unexpected_errors_total. The scheduler releases its lock by defer, so that none stays held. Loops that hold locks of a service (pkg/group) are not confined: a lock held for ever would be worse than a restart.

--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -19,6 +19,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
 	"github.com/sycamorehub/sycamorehub/pkg/ownership"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -258,7 +259,10 @@
 
 // readAndInstall reads the row and installs its document if it is newer. A table service that answers that there is no
 // row has answered, too, so that the daemon becomes ready.
-func (s *Sync) readAndInstall(ctx context.Context) error {
+func (s *Sync) readAndInstall(ctx context.Context) (err error) {
+	defer panics.Confine(s.options.Log, "read of the configuration", func() {
+		err = errkind.New(errkind.Internal, "configuration row could not be handled")
+	})
 	row, err := s.readRow(ctx)
 	if err != nil {
 		return err
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/owner"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
 )
@@ -52,6 +53,7 @@
 	descWatchRelays       = desc("watch_relays_total", "Views of services asked from the lead of their watchers.")
 	descMemberPollBytes   = desc("member_poll_bytes_total", "Estimated bytes of control traffic with members.")
 	descHeartbeats        = desc("heartbeats_total", "Heartbeats sent.")
+	descPanics            = desc("unexpected_errors_total", "Panics that ended one session, request or read of this daemon.")
 	descConfigStoreReads  = desc("config_store_reads_total", "Reads of the configuration row.")
 )
 
@@ -94,6 +96,7 @@
 	configSync := kernel.MustLookup[*configsync.Sync](c.k, nameConfig)
 	version, _ := configSync.State()
 	gauge(descConfigVersion, float64(version))
+	counter(descPanics, panics.Confined())
 	counter(descConfigStoreReads, configSync.StoreReads())
 	vmView := kernel.MustLookup[*membership.View](c.k, nameMembership)
 	gauge(descLiveVMs, float64(len(vmView.Live())))
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -41,7 +41,7 @@
 	options := peer.Options{
 		Self: kernel.MustLookup[platform.VM](k, nameSelf), Cluster: s.Cluster,
 		Limiter: peer.NewLimiter(float64(s.Link.BitsPerSecond) / bitsPerByte), Stats: peer.NewStats(),
-		TLS: kernel.MustLookup[*tlsConfigs](k, nameTLS).peerClient,
+		TLS: kernel.MustLookup[*tlsConfigs](k, nameTLS).peerClient, Log: logger(k, namePeers),
 		OnUnreachable: func(vm platform.VM) {
 			if vmView, err := kernel.Lookup[*membership.View](k, nameMembership); err == nil {
 				vmView.MarkUnreachable(vm)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -16,6 +16,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/listpoll"
 	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
 )
@@ -93,7 +94,8 @@
 	d.poller.Run(ctx)
 }
 
-func (d *Directory) readList(ctx context.Context) error {
+func (d *Directory) readList(ctx context.Context) (err error) {
+	defer panics.Confine(d.log, "read of the service list", func() { err = errkind.New(errkind.Internal, "service list could not be handled") })
 	list, err := d.lister.Services(ctx)
 	if err != nil {
 		d.log.WithError(err).Debug("cannot read the service list; keeping the last one")
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/sockio"
 )
 
@@ -149,6 +150,7 @@
 	defer s.openConns.Add(-1)
 	c := &session{server: s, conn: conn, txStatus: 'I'}
 	defer func() { _ = c.conn.Close() }()
+	defer panics.Confine(s.options.Log, "session of a caller", nil)
 	ok, err := c.startup()
 	if err != nil {
 		c.sendFatal(err)
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/listpoll"
 	"github.com/sycamorehub/sycamorehub/pkg/ownership"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 )
 
@@ -15,7 +17,8 @@
 	v.poller.Run(v.ctx)
 }
 
-func (v *View) readList(ctx context.Context) error {
+func (v *View) readList(ctx context.Context) (err error) {
+	defer panics.Confine(v.options.Log, "read of the VM list", func() { err = errkind.New(errkind.Internal, "VM list could not be handled") })
 	list, err := v.options.Lister.VMs(ctx)
 	if err != nil {
 		v.options.Log.WithError(err).Debug("cannot read the VM list; keeping the last one")
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -158,7 +158,7 @@
 	for {
 		f, err := c.nextFrame()
 		if err == nil {
-			err = c.handleFrame(f)
+			err = confined(c.pool.opts.Log, "frame of a peer", func() error { return c.handleFrame(f) })
 		}
 		if !c.reader.FrameBuffered() {
 			c.notifyLater(nil)
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -11,11 +11,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -46,9 +49,10 @@
 type Options struct {
 	Self    platform.VM
 	Cluster string
-	TLS     *tls.Config // client configuration of a Pool, server configuration of a Server; nil for plain TCP
-	Limiter *Limiter    // shared by Server and Pool; nil for a limiter with the default rate
-	Stats   *Stats      // shared by Server and Pool; nil for new counters
+	TLS     *tls.Config        // client configuration of a Pool, server configuration of a Server; nil for plain TCP
+	Limiter *Limiter           // shared by Server and Pool; nil for a limiter with the default rate
+	Stats   *Stats             // shared by Server and Pool; nil for new counters
+	Log     logrus.FieldLogger // nil for none
 
 	DialTimeout  time.Duration
 	WriteTimeout time.Duration
@@ -87,6 +91,11 @@
 	if o.Stats == nil {
 		o.Stats = NewStats()
 	}
+	if o.Log == nil {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		o.Log = log
+	}
 	if o.OnConnectionLost == nil {
 		o.OnConnectionLost = func(platform.VM) {}
 	}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -417,3 +418,28 @@
 	require.Equal(t, errkind.OutcomeUnknown, res.Outcome)
 	require.True(t, res.Streamed)
 }
+
+// An unexpected error in one unit or request must end only that one: its outcome is unknown, and the connection goes on.
+func TestPanicEndsOneUnit(t *testing.T) {
+	e := newExecutor(func(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result {
+		if u.Write {
+			panic("broken")
+		}
+		return echo(ctx, u, sink)
+	})
+	owner, _, server := serve(t, e)
+	server.Handle(wire.TypeViewRequest, func(context.Context, platform.VM, []byte) ([]byte, error) { panic("broken") })
+	p := newTestPool(t)
+	before := panics.Confined()
+	for range 3 {
+		res := p.Execute(within(t, 5*time.Second), owner, &unit.Unit{Write: true, Messages: []byte("w")}, &buffer{})
+		require.Equal(t, errkind.OutcomeUnknown, res.Outcome)
+		require.True(t, errkind.Is(res.Err, errkind.Internal), "%v", res.Err)
+		_, err := p.Request(within(t, 5*time.Second), owner, wire.TypeViewRequest, nil)
+		require.Error(t, err)
+		out := &buffer{}
+		res = p.Execute(within(t, 5*time.Second), owner, &unit.Unit{Messages: []byte("r")}, out)
+		require.Equal(t, errkind.OutcomeDone, res.Outcome)
+	}
+	require.Equal(t, before+6, panics.Confined())
+}
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -234,6 +235,7 @@
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
+		defer panics.Confine(p.opts.Log, "connection to a peer", nil)
 		f()
 	}()
 	return true
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -8,7 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/sockio"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -99,6 +102,7 @@
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
+		defer panics.Confine(s.opts.Log, "connection of a peer", nil)
 		f()
 	}()
 	return true
@@ -209,7 +213,7 @@
 	for err == nil {
 		var f wire.Frame
 		if f, err = c.nextFrame(); err == nil {
-			err = c.handleFrame(f)
+			err = confined(s.opts.Log, "frame of a peer", func() error { return c.handleFrame(f) })
 		}
 	}
 	c.close(err)
@@ -263,5 +267,16 @@
 	if h == nil {
 		return nil, errkind.New(errkind.NotReady, "no handler for message type %d", t)
 	}
-	return h(ctx, from, body)
+	var reply []byte
+	err := confined(s.opts.Log, "request of a peer", func() (err error) {
+		reply, err = h(ctx, from, body)
+		return err
+	})
+	return reply, err
+}
+
+// confined calls f and returns its error, or one of kind Internal if f panics.
+func confined(log logrus.FieldLogger, where string, f func() error) (err error) {
+	defer panics.Confine(log, where, func() { err = errkind.New(errkind.Internal, "%s could not be handled", where) })
+	return f()
 }
--- a/pkg/peer/serverconn.go
+++ b/pkg/peer/serverconn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -165,7 +166,7 @@
 func (r *unitRun) execute() {
 	c := r.conn
 	defer c.server.units.Done()
-	res := c.server.opts.Executor.Execute(r.ctx, r.unit, r)
+	res := r.runUnit()
 	r.cancel()
 	c.server.endUnitTx(c.session, r.unit.Tx, res.Tx)
 	c.mu.Lock()
@@ -175,6 +176,15 @@
 	r.sendResult(&res)
 }
 
+// runUnit runs the unit. After a panic the outcome of the unit is unknown.
+func (r *unitRun) runUnit() (res unit.Result) {
+	opts := &r.conn.server.opts
+	defer panics.Confine(opts.Log, "unit of a peer", func() {
+		res = unit.Failed(errkind.New(errkind.Internal, "unit ended by an unexpected error at entry VM %s", opts.Self.Name))
+	})
+	return opts.Executor.Execute(r.ctx, r.unit, r)
+}
+
 // sendResult ends the answer. It passes the limiter unless the last chunk has passed it for the result as well.
 func (r *unitRun) sendResult(res *unit.Result) {
 	if r.resultCharged {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -68,37 +68,41 @@
 	if err := ctx.Err(); err != nil {
 		return nil, cancelledError(err)
 	}
+	su, err := s.enqueue(r)
+	switch {
+	case err != nil:
+		return nil, err
+	case su.waiter != nil:
+		return s.awaitGrant(ctx, su, su.waiter)
+	}
+	return &Grant{scheduler: s, unit: su}, nil
+}
+
+// enqueue adds a unit. The unit has a waiter unless it runs already.
+func (s *Scheduler) enqueue(r Request) (*ScheduledUnit, error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.closed {
-		s.mu.Unlock()
 		return nil, closedError()
 	}
 	now := s.now()
 	su, err := s.policy.Enqueue(now, r)
 	if err != nil {
-		s.mu.Unlock()
 		return nil, err
 	}
 	s.dispatch(now)
-	if su.state == stateRunning {
-		s.mu.Unlock()
-		return &Grant{scheduler: s, unit: su}, nil
+	if su.state != stateRunning {
+		su.waiter = &waiter{done: make(chan struct{})}
+		s.armTimer(now, su.expiry())
 	}
-	w := &waiter{done: make(chan struct{})}
-	su.waiter = w
-	s.armTimer(now, su.expiry())
-	s.mu.Unlock()
-	return s.awaitGrant(ctx, su, w)
+	return su, nil
 }
 
 func (s *Scheduler) awaitGrant(ctx context.Context, su *ScheduledUnit, w *waiter) (*Grant, error) {
 	select {
 	case <-w.done:
 	case <-ctx.Done():
-		s.mu.Lock()
-		removed := s.policy.Cancel(su)
-		s.mu.Unlock()
-		if removed {
+		if s.cancel(su) {
 			return nil, cancelledError(ctx.Err())
 		}
 		<-w.done // granted or refused concurrently; the caller still receives a grant that it must release
@@ -109,6 +113,13 @@
 	return &Grant{scheduler: s, unit: su}, nil
 }
 
+// cancel removes a unit that still waits and reports whether it did.
+func (s *Scheduler) cancel(su *ScheduledUnit) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.policy.Cancel(su)
+}
+
 // dispatch starts all units that can run and wakes the callers of the units that were granted or refused. s.mu must be
 // held.
 func (s *Scheduler) dispatch(now time.Time) {
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
@@ -225,6 +226,7 @@
 func (c *callerSession) serve() {
 	defer c.server.remove(c)
 	defer func() { _ = c.conn.Close() }()
+	defer panics.Confine(c.server.opts.Log, "session of a caller", nil)
 	if !c.startup() {
 		return
 	}
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -335,3 +335,25 @@
 		close(f.statements)
 	})
 }
+
+// An unexpected error in one session must end only that session. Its open transaction must be rolled back.
+func TestPanicEndsOneSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, rollbacks := newFakeCaller(), make(chan unit.TxRef, 1)
+		units := 0
+		s := startServer(t, f, fakeExecutor{rollbacks: rollbacks, execute: func(context.Context, *unit.Unit) unit.Result {
+			if units++; units > 1 {
+				panic("broken")
+			}
+			return doneResult('T', openTx)
+		}})
+		for _, k := range []Kind{KindBegin, KindWrite, KindWrite} {
+			f.statements <- statement(k)
+		}
+		require.Equal(t, openTx, <-rollbacks)
+		synctest.Wait()
+		require.Zero(t, s.Connections())
+		require.Len(t, f.answers, 2, "the caller is told nothing about the statement, whose outcome is unknown")
+		require.NoError(t, s.Drain(t.Context()))
+	})
+}
