--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -1,8 +1,8 @@
 package membership
 
 import (
-	"fmt"
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
