--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -210,6 +210,22 @@
 	writeJSON(w, http.StatusOK, snap)
 }
 
+// getRequests answers with the latest requests that were not served, or with those of the id in the query.
+func (s *Server) getRequests(w http.ResponseWriter, r *http.Request) {
+	if !s.requirePart(w, r, s.options.Requests != nil, "the log of failed requests") {
+		return
+	}
+	list := []FailedRequest{}
+	for _, e := range s.options.Requests.Find(r.URL.Query().Get("id")) {
+		kind := errkind.Of(e.Err)
+		list = append(list, FailedRequest{
+			Time: e.Time, Request: e.Request, Database: e.Database, Service: e.Service, Class: e.Class, Kind: kind.Code,
+			Outcome: kind.Outcome.String(), Took: e.Took, Error: e.Err.Error(), Remedy: kind.Remedy,
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
 func (s *Server) postDrain(w http.ResponseWriter, r *http.Request) {
 	if !s.requirePart(w, r, s.options.Drainer != nil, "draining") {
 		return
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -28,7 +28,7 @@
 	maxHeaderBytes = 16 << 10
 )
 
-// Options configures a Server. If Config, Cluster, Drainer or Burn is nil, requests that need it are answered with "not
+// Options configures a Server. If Config, Cluster, Drainer, Burn or Requests is nil, requests that need it are answered with "not
 // ready".
 type Options struct {
 	Addr     string              // host:port to listen on
@@ -40,6 +40,7 @@
 	Cluster  ClusterView
 	Drainer  Drainer
 	Burn     BurnSource
+	Requests RequestLog
 	Log      logrus.FieldLogger // nil means the standard logger
 }
 
@@ -111,6 +112,7 @@
 	api.HandleFunc("GET /v1/groups", s.getGroups)
 	api.HandleFunc("GET /v1/vms", s.getVMs)
 	api.HandleFunc("GET /v1/burn", s.getBurn)
+	api.HandleFunc("GET /v1/requests", s.getRequests)
 	api.HandleFunc("POST /v1/drain", s.postDrain)
 	api.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
 		writeRequestError(w, http.StatusNotFound, CodeBadRequest, "the admin API has no such operation: "+r.Method+" "+r.URL.Path,
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/burn"
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 )
 
 // Change is a configuration document that an operator asks to put in force.
@@ -54,6 +55,26 @@
 	Snapshot() (*burn.Snapshot, error)
 }
 
+// RequestLog holds the latest requests that were not served.
+type RequestLog interface {
+	// Find returns those with the given id, or all of them if it is empty, the oldest first.
+	Find(request string) []requestlog.Entry
+}
+
+// FailedRequest is a request that was not served, or a session that was refused.
+type FailedRequest struct {
+	Time     time.Time     `json:"time"`
+	Request  string        `json:"request"` // empty for a refused session
+	Database string        `json:"database"`
+	Service  string        `json:"service"`
+	Class    string        `json:"class"`
+	Kind     string        `json:"kind"`    // code of the error kind
+	Outcome  string        `json:"outcome"` // whether the request ran
+	Took     time.Duration `json:"took"`    // nanoseconds from the complete request to its answer
+	Error    string        `json:"error"`
+	Remedy   string        `json:"remedy"`
+}
+
 // Check is a named condition that must hold for the daemon to be ready. Probe returns nil if the condition holds, and
 // must not block.
 type Check struct {
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -57,6 +57,7 @@
 			t.command("drain", "VM", "gracefully shut down the daemon of a VM", t.drain),
 			t.command("burn", "", "service-level burn report of all daemons", t.burn,
 				&cli.StringFlag{Name: "html", Usage: "write the report as one HTML page to this file", TakesFile: true}),
+			t.command("explain", "REQUEST", "why a request was not served: what every daemon that handled it recorded", t.explain),
 			t.command("version", "", "version of this program", t.version),
 		},
 	}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,12 +13,14 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sycamorehub/sycamorehub/pkg/admin"
 	"github.com/sycamorehub/sycamorehub/pkg/burn"
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 )
 
 const validDocument = `{"default": "order", "classes": [{"name": "order", "rank": "urgent", "access": "write",
@@ -38,6 +41,7 @@
 	name    string
 	version uint64 // installed version; 0 means the stored one
 	burn    *burn.Recorder
+	failed  *requestlog.Log
 }
 
 func (d *daemon) Installed() *clusterconfig.Document {
@@ -106,8 +110,10 @@
 	c := &cluster{}
 	var daemons []*daemon
 	for _, name := range names {
-		d := &daemon{cluster: c, name: name, burn: burn.NewRecorder(name, nil)}
-		s := httptest.NewServer(admin.New(admin.Options{Config: d, Cluster: d, Drainer: d, Burn: d, Token: "secret"}).Handler())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		d := &daemon{cluster: c, name: name, burn: burn.NewRecorder(name, nil), failed: requestlog.New(log)}
+		s := httptest.NewServer(admin.New(admin.Options{Config: d, Cluster: d, Drainer: d, Burn: d, Requests: d.failed, Token: "secret"}).Handler())
 		t.Cleanup(s.Close)
 		c.vms = append(c.vms, admin.VM{Name: name, AdminAddr: strings.TrimPrefix(s.URL, "http://")})
 		daemons = append(daemons, d)
@@ -238,3 +244,24 @@
 	code, _ = c.run(t, "drain", "c")
 	require.Equal(t, ExitNotReachable, code)
 }
+
+// explain must show every attempt of a request, whichever VM handled it, in the order of time, and must say so if a VM does not
+// answer or no VM knows the request.
+func TestExplain(t *testing.T) {
+	c, daemons := newCluster(t, "a", "b")
+	c.vms = append(c.vms, admin.VM{Name: "c", AdminAddr: unreachableAddr})
+	first := time.Now()
+	entry := func(request string, at time.Duration, err error) requestlog.Entry {
+		return requestlog.Entry{Time: first.Add(at), Request: request, Service: "orders-db.1", Class: "checkout", Took: 7 * time.Millisecond, Err: err}
+	}
+	daemons[0].failed.Add(entry("5c0e", time.Second, errkind.New(errkind.RequestOutcomeUnknown, "connection was lost")))
+	daemons[1].failed.Add(entry("5c0e", 0, errkind.New(errkind.Overload, "predicted wait too long")))
+	daemons[1].failed.Add(entry("other", 0, errkind.New(errkind.Overload, "not this one")))
+	code, out := c.run(t, "explain", "5c0e")
+	require.Equal(t, ExitOK, code, out)
+	require.Regexp(t, `(?s)c does not answer.*b +orders-db.1 +checkout +7ms +not run +predicted wait.*a +orders-db.1 +checkout +7ms +unknown +connection was lost`, out)
+	require.NotContains(t, out, "not this one")
+	code, out = c.run(t, "explain", "none")
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, out, `request "none"`)
+}
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/owner"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
 )
@@ -38,7 +39,8 @@
 		Addr: daemonSettings.Listen.Admin, Token: token, PProf: daemonSettings.Admin.PProf, Log: log, Checks: readinessChecks(k, configSync),
 		Gatherer: kernel.MustLookup[*prometheus.Registry](k, nameMetrics),
 		Burn:     kernel.MustLookup[*burn.Recorder](k, nameBurn), Drainer: drainer{k},
-		Config: adminConfig{configSync: configSync, table: client, history: configsync.NewHistory(client), log: log},
+		Requests: kernel.MustLookup[*requestlog.Log](k, nameRequestLog),
+		Config:   adminConfig{configSync: configSync, table: client, history: configsync.NewHistory(client), log: log},
 		Cluster: adminView{
 			started: time.Now(), configSync: configSync,
 			vmView: kernel.MustLookup[*membership.View](k, nameMembership), directory: kernel.MustLookup[*directory.Directory](k, nameDirectory),
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -42,6 +42,7 @@
 	nameMetrics     = "metrics"
 
 	nameUnitMetrics = "unit-metrics"
+	nameRequestLog  = "request-log"
 	nameFrontend    = "frontend"
 	nameAdmin       = "admin"
 	nameReadiness   = "readiness"
@@ -113,6 +114,7 @@
 		existingService(nameEdges, e),
 		{Name: nameBurn, New: newBurn},
 		{Name: nameUnitMetrics, New: newUnitMetrics},
+		{Name: nameRequestLog, New: newRequestLog},
 		{Name: nameTLS, New: newTLS},
 		existingService(namePlatform, e.Platform),
 		{Name: namePeers, New: newPeers},
--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
 	"github.com/sycamorehub/sycamorehub/pkg/session"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
@@ -46,6 +47,7 @@
 			VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
 			DrainGrace:     time.Duration(s.Limits.DrainGrace),
 			ObserveRequest: kernel.MustLookup[*unitMetrics](k, nameUnitMetrics).observe,
+			RecordFailure:  kernel.MustLookup[*requestlog.Log](k, nameRequestLog).Add,
 		})
 		return c, nil
 	}
--- a/pkg/daemon/observe.go
+++ b/pkg/daemon/observe.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/burn"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
 )
 
@@ -53,6 +54,10 @@
 	}, nil
 }
 
+func newRequestLog(k *kernel.Kernel) (any, error) {
+	return requestlog.New(logger(k, nameFrontend)), nil
+}
+
 // observe queues the observation of one request. It does not block.
 func (m *unitMetrics) observe(class string, outcome errkind.Outcome, code string, latency time.Duration) {
 	_ = m.ring.Put(context.Background(), observation{class, outcome, code, latency})
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
 	"github.com/sycamorehub/sycamorehub/pkg/panics"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
@@ -51,7 +52,9 @@
 	DrainGrace time.Duration
 	// ObserveRequest is called after each request that was executed as a unit.
 	ObserveRequest func(class string, outcome errkind.Outcome, code string, latency time.Duration)
-	Log            logrus.FieldLogger
+	// RecordFailure is called for each statement that failed and each session that was refused. It must not block.
+	RecordFailure func(requestlog.Entry)
+	Log           logrus.FieldLogger
 }
 
 // acceptRetryDelay is the pause after a failed Accept, for example when file descriptors run out.
@@ -254,7 +257,7 @@
 	}
 	_, err = c.currentPolicy()
 	if err != nil {
-		c.server.opts.Log.WithError(err).WithField("database", c.database).Info("session of a caller refused")
+		c.server.opts.RecordFailure(requestlog.Entry{Time: time.Now(), Database: c.database, Err: err})
 	}
 	return c.conn.AnswerStartup(err) == nil && err == nil
 }
@@ -322,7 +325,7 @@
 	}
 }
 
-// answerStatement returns the answer to one statement, and logs the error of a statement that failed.
+// answerStatement returns the answer to one statement, and records the error of a statement that failed.
 func (c *callerSession) answerStatement(st Statement) Answer {
 	start := time.Now()
 	u, a, rollback := c.session.Plan(st, c.currentPolicy)
@@ -331,7 +334,7 @@
 		a = c.execute(st, u, start)
 	}
 	if a.Err != nil {
-		c.logFailedStatement(st, a, time.Since(start))
+		c.recordFailure(st, a, start)
 	}
 	return a
 }
@@ -353,11 +356,12 @@
 	return a
 }
 
-func (c *callerSession) logFailedStatement(st Statement, a Answer, took time.Duration) {
-	c.server.opts.Log.WithFields(logrus.Fields{
-		"request": st.ID, "database": c.database, "of": c.session.policy.Route.Service, "class": c.session.policy.Class.Name, "kind": errkind.Of(a.Err).Code, "state": string(a.TxStatus),
-		"outcome": errkind.Of(a.Err).Outcome.String(), "ms": took.Milliseconds(), "error": a.Err.Error(),
-	}).Info("statement failed")
+func (c *callerSession) recordFailure(st Statement, a Answer, start time.Time) {
+	now := time.Now()
+	c.server.opts.RecordFailure(requestlog.Entry{
+		Time: now, Request: st.ID, Database: c.database, Service: c.session.policy.Route.Service, Class: c.session.policy.Class.Name,
+		State: string(a.TxStatus), Took: now.Sub(start), Err: a.Err,
+	})
 }
 
 // answerBuffer collects the whole answer of a unit. Answers of members have a few kilobytes, so that none is streamed.
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
@@ -263,6 +264,7 @@
 	log.SetOutput(io.Discard)
 	s := NewServer(Options{Protocol: func(net.Conn) CallerConn { return f }, Executor: e, Log: log, MaxConnections: 4,
 		Document: func() *clusterconfig.Document { return doc }, DrainGrace: 2 * time.Second,
+		RecordFailure:  func(requestlog.Entry) {},
 		ObserveRequest: func(string, errkind.Outcome, string, time.Duration) {}})
 	a, b := net.Pipe()
 	t.Cleanup(func() { a.Close(); b.Close() })
