--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -251,7 +251,7 @@
 	startInterval := readerStartInterval
 	if !s.options.Membership.IsReader() {
 		startInterval = otherStartInterval
-		if !sleep(s.ctx, startInterval/4+rand.N(startInterval/4)) {
+		if !sleep(s.ctx, startInterval/2+rand.N(startInterval/2)) {
 			return
 		}
 	}
@@ -261,7 +261,7 @@
 		wait := jitter(pollInterval)
 		if !s.isReady() || s.options.Membership.IsReader() {
 			watched := s.isReady() && s.watcher != nil
-			err := s.readAndInstall(s.ctx, watched)
+			err := s.pollOnce(watched)
 			switch {
 			case err == nil:
 				retryBackoff = backoff{}
@@ -286,6 +286,15 @@
 	}
 }
 
+// pollOnce reads the row, or watches it for a change. Requests that want a read wait for this one instead of making another.
+func (s *Sync) pollOnce(watch bool) error {
+	if !watch {
+		s.fresh.mu.Lock()
+		defer s.fresh.mu.Unlock()
+	}
+	return s.readAndInstall(s.ctx, watch)
+}
+
 // logReadError logs a warning about a row that cannot be used. A table service that does not answer is logged at debug
 // level only, since every read fails while it is down.
 func (s *Sync) logReadError(err error) {
