pkg/configsync: test that reads at a start grow with data centres

24, 96, 195 and 670 VMs in virtual time, with the table service at its rate and at a tenth of it: at most 4 reads a data centre, all ready within 1 s.

--- a/pkg/configsync/configsync_test.go
+++ b/pkg/configsync/configsync_test.go
@@ -30,6 +30,9 @@
 	row     platform.Row
 	down    bool
 	reads   int
+	perSec  int                    // reads that succeed in each second, 0 for all of them
+	second  int64                  // second of the last read
+	recent  int                    // reads in that second
 	onPut   func(put func()) error // replaces the next Put and may call put to let it take effect; nil: Put succeeds
 	delayed []func()               // puts that a test lets take effect later
 }
@@ -38,9 +41,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.recent = now, 0
+	}
+	s.recent++
 	switch {
 	case s.down:
 		return platform.Row{}, platform.ErrUnavailable
+	case s.perSec > 0 && s.recent > s.perSec:
+		return platform.Row{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, platform.ErrRateLimited)
 	case s.row.Version == 0:
 		return platform.Row{}, platform.ErrNotFound
 	}
@@ -465,6 +474,37 @@
 	})
 }
 
+// The reads of the configuration at a fleet's start must grow with its data centres, not with its VMs, and must not keep the
+// fleet from starting when the table service takes a tenth of its usual rate.
+func TestReadsAtStartGrowWithDataCentres(t *testing.T) {
+	const perDataCentre = 4 // two readers, each of which may read twice
+	for _, size := range []struct{ vms, dataCentres int }{{24, 6}, {96, 6}, {195, 6}, {670, 12}} {
+		for _, perSec := range []int{0, 200} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size.vms)
+				for i := range f.vms {
+					f.vms[i].DataCentre = fmt.Sprint("dc-", i%size.dataCentres)
+					fake := fakeVM{f, f.vms[i]}
+					s := f.syncs[f.vms[i].Name]
+					s.options.Peers, s.options.Membership = fake, fake
+				}
+				_, err := f.syncs["vm-00"].Apply(background, document("ana"), 0, "op-1")
+				require.NoError(t, err)
+				f.store.locked(func() { f.store.reads, f.store.perSec = 0, perSec })
+				f.start(t)
+				start := time.Now()
+				for _, s := range f.syncs {
+					waitUntil(t, s, s.Ready)
+				}
+				require.Less(t, time.Since(start), time.Second, "%+v", size)
+				f.store.locked(func() {
+					require.LessOrEqual(t, f.store.reads, perDataCentre*size.dataCentres, "%+v", size)
+				})
+			})
+		}
+	}
+}
+
 // A daemon must not take a reader's word for a configuration that the reader has read before the daemon's start: the daemon may
 // have served a later one before it was restarted.
 func TestReaderVouchesOnlyForLaterReads(t *testing.T) {
