--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -97,14 +97,14 @@
 
 // Sync holds the configuration in force on this daemon. It is safe for concurrent use.
 type Sync struct {
-	options Options
-	watcher Watcher // options.Store, or nil if it cannot wait for changes
-	started time.Time
-	fresh   readOnDemand
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
-	offers  *ring.Ring[offer] // put by ObserveAnnouncement, taken by fetchOffers
+	options  Options
+	watcher  Watcher // options.Store, or nil if it cannot wait for changes
+	started  time.Time
+	onDemand readOnDemand
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	offers   *ring.Ring[offer] // put by ObserveAnnouncement, taken by fetchOffers
 
 	installMu sync.Mutex // held while a document is installed, so that OnInstall is called in the order of versions
 
@@ -289,8 +289,8 @@
 // pollOnce reads the row, or watches it for a change. Requests that want a read wait for this one instead of making another.
 func (s *Sync) pollOnce(watch bool) error {
 	if !watch {
-		s.fresh.mu.Lock()
-		defer s.fresh.mu.Unlock()
+		s.onDemand.mu.Lock()
+		defer s.onDemand.mu.Unlock()
 	}
 	return s.readAndInstall(s.ctx, watch)
 }
@@ -307,8 +307,8 @@
 	s.options.Log.WithError(err).Debug("configuration row could not be read; trying again after a delay")
 }
 
-// readAndInstall reads the row, or watches it for a change, and installs its document if it is newer. A table service that answers that there is no
-// row has answered, too, so that the daemon becomes ready.
+// readAndInstall reads the row, or watches it for a change, and installs its document if it is newer. A table service that
+// answers that there is no row has answered, too, so that the daemon becomes ready.
 func (s *Sync) readAndInstall(ctx context.Context, watch bool) (err error) {
 	defer panics.Confine(s.options.Log, "read of the configuration", func() {
 		err = errkind.New(errkind.Internal, "configuration row could not be handled")
--- a/pkg/configsync/start.go
+++ b/pkg/configsync/start.go
@@ -77,17 +77,17 @@
 		return false
 	}
 	arrived := time.Now()
-	s.fresh.mu.Lock()
-	defer s.fresh.mu.Unlock()
+	s.onDemand.mu.Lock()
+	defer s.onDemand.mu.Unlock()
 	age += time.Since(arrived) // the requester has grown older meanwhile
 	if s.wasReadWithin(age) {
 		return true
 	}
-	if ctx.Err() != nil || time.Since(s.fresh.lastFailed) < failedReadPause {
+	if ctx.Err() != nil || time.Since(s.onDemand.lastFailed) < failedReadPause {
 		return false
 	}
 	if err := s.readAndInstall(ctx, false); err != nil {
-		s.fresh.lastFailed = time.Now()
+		s.onDemand.lastFailed = time.Now()
 		return false
 	}
 	return true
--- /dev/null
+++ b/pkg/configsync/start_test.go
@@ -0,0 +1,97 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/platform"
+)
+
+// When a fleet starts, the readers must read for the others: a large document that every VM reads fills the link between
+// regions, so that all reads time out and are repeated.
+func TestReadersReadForAStartingFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 32)
+		_, err := f.syncs["vm-00"].Apply(background, document("ana"), 0, "op-1")
+		require.NoError(t, err)
+		f.store.locked(func() { f.store.reads = 0 })
+		f.start(t)
+		start := time.Now()
+		for _, s := range f.syncs {
+			waitUntil(t, s, s.Ready)
+		}
+		require.Less(t, time.Since(start), time.Second)
+		f.store.locked(func() { require.LessOrEqual(t, f.store.reads, 8) })
+	})
+}
+
+// The reads of the configuration at a fleet's start must grow with its data centres, not with its VMs, and must not keep the
+// fleet from starting when the table service takes a tenth of its usual rate.
+func TestReadsAtStartGrowWithDataCentres(t *testing.T) {
+	const perDataCentre = 4 // two readers, each of which may read twice
+	for _, size := range []struct{ vms, dataCentres int }{{24, 6}, {96, 6}, {195, 6}, {670, 12}} {
+		for _, perSec := range []int{0, 200} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size.vms)
+				for i := range f.vms {
+					f.vms[i].DataCentre = fmt.Sprint("dc-", i%size.dataCentres)
+					fake := fakeVM{f, f.vms[i]}
+					s := f.syncs[f.vms[i].Name]
+					s.options.Peers, s.options.Membership = fake, fake
+				}
+				_, err := f.syncs["vm-00"].Apply(background, document("ana"), 0, "op-1")
+				require.NoError(t, err)
+				f.store.locked(func() { f.store.reads, f.store.perSec = 0, perSec })
+				f.start(t)
+				start := time.Now()
+				for _, s := range f.syncs {
+					waitUntil(t, s, s.Ready)
+				}
+				require.Less(t, time.Since(start), time.Second, "%+v", size)
+				f.store.locked(func() {
+					require.LessOrEqual(t, f.store.reads, perDataCentre*size.dataCentres, "%+v", size)
+				})
+			})
+		}
+	}
+}
+
+// A daemon must not take a reader's word for a configuration that the reader has read before the daemon's start: the daemon may
+// have served a later one before it was restarted.
+func TestReaderVouchesOnlyForLaterReads(t *testing.T) {
+	f := newFleet(t, 3)
+	var readers, others []*Sync
+	var vms []platform.VM
+	for _, vm := range f.vms {
+		if f.syncs[vm.Name].options.Membership.IsReader() {
+			readers, vms = append(readers, f.syncs[vm.Name]), append(vms, vm)
+		} else {
+			others = append(others, f.syncs[vm.Name])
+		}
+	}
+	_, err := readers[0].Apply(background, document("ana"), 0, "op-1")
+	require.NoError(t, err)
+	require.NoError(t, readers[0].readAndInstall(background, false))
+	restarted := others[0]
+	time.Sleep(time.Millisecond)
+	restarted.started = time.Now()
+	f.store.locked(func() { f.store.down = true })
+	time.Sleep(2 * time.Millisecond)
+	require.False(t, restarted.isCurrentAt(vms[0]), "the reader cannot read now")
+	require.EqualValues(t, 1, restarted.copy.Version(), "the document itself is taken")
+
+	f.store.locked(func() { f.store.down = false })
+	time.Sleep(failedReadPause)
+	require.True(t, restarted.isCurrentAt(vms[0]))
+	var reads int
+	f.store.locked(func() { reads = f.store.reads })
+	require.True(t, restarted.isCurrentAt(vms[0]))
+	f.store.locked(func() { require.Equal(t, reads, f.store.reads, "one read serves all that have started before it") })
+
+	restarted.highestAnnounced = 9
+	require.False(t, restarted.isCurrentAt(vms[0]), "a later version is known to exist")
+}
