--- /dev/null
+++ b/pkg/session/caller.go
@@ -0,0 +1,188 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/panics"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
+)
+
+// callerSession serves one caller on its connection.
+type callerSession struct {
+	server   *Server
+	conn     CallerConn
+	session  *Session
+	database string
+
+	mu             sync.Mutex
+	reading        bool // guarded by mu; the session waits for a statement
+	inTx           bool // guarded by mu; a transaction was open when the session began to wait for the last statement
+	closeRequested atomic.Bool
+}
+
+// interrupt requests that the session closes, and ends its wait for a statement. A session in a transaction is left alone
+// unless transactions is set.
+func (c *callerSession) interrupt(transactions bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inTx || transactions {
+		c.closeRequested.Store(true)
+		if c.reading {
+			_ = c.conn.SetIdleDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+func (c *callerSession) serve() {
+	defer c.server.remove(c)
+	defer func() { _ = c.conn.Close() }()
+	defer panics.Confine(c.server.opts.Log, "session of a caller", nil)
+	if !c.startup() {
+		return
+	}
+	defer func() { c.rollback(c.session.Abandon()) }()
+	for {
+		st, err := c.nextStatement()
+		if err != nil {
+			return
+		}
+		a := c.answerStatement(st)
+		if c.conn.WriteAnswer(a) != nil {
+			return
+		}
+		if c.session.Idle() && (c.closeRequested.Load() || c.server.isClosing()) {
+			return
+		}
+	}
+}
+
+// startup reads and answers the caller's startup and reports whether the session was accepted.
+func (c *callerSession) startup() bool {
+	var err error
+	if c.database, err = c.conn.ReadStartup(); err != nil {
+		return false
+	}
+	_, err = c.currentPolicy()
+	if err != nil {
+		c.server.opts.RecordFailure(requestlog.Entry{Time: time.Now(), Database: c.database, Err: err})
+	}
+	return c.conn.AnswerStartup(err) == nil && err == nil
+}
+
+// currentPolicy returns the route and class of the session's database in the configuration in force.
+func (c *callerSession) currentPolicy() (Policy, error) {
+	doc := c.server.opts.Document()
+	if doc == nil {
+		return Policy{}, errkind.New(errkind.NotReady, "entry VM %s has no configuration yet", c.server.opts.VMName)
+	}
+	r, ok := doc.Route(c.database)
+	if !ok {
+		return Policy{}, errkind.New(errkind.UnknownService, "database %q has no route in configuration version %d", c.database, doc.Version)
+	}
+	class, _ := doc.Class(r.Class) // a valid document holds the class of each route
+	return Policy{Route: r, Class: class}, nil
+}
+
+// nextStatement waits for a statement. A transaction that idles longer than the configuration allows is rolled back, and
+// the wait goes on.
+func (c *callerSession) nextStatement() (Statement, error) {
+	for {
+		if !c.startReading() {
+			return Statement{}, errDraining
+		}
+		st, err := c.conn.ReadStatement()
+		c.stopReading()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return st, err
+		}
+		if c.closeRequested.Load() {
+			return Statement{}, errDraining
+		}
+		c.server.opts.Log.WithField("database", c.database).Info("transaction of a caller was idle too long; rolling it back")
+		c.rollback(c.session.Abandon())
+	}
+}
+
+var errDraining = errors.New("session: the entry VM is stopping")
+
+// startReading sets the deadline for the next statement and reports whether the session may wait for it.
+func (c *callerSession) startReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.inTx = true, !c.session.Idle()
+	if c.closeRequested.Load() {
+		return false
+	}
+	var deadline time.Time
+	if doc := c.server.opts.Document(); doc != nil && doc.IdleTransaction > 0 && c.session.TxStatus() == 'T' && !c.session.lossUnreported {
+		deadline = time.Now().Add(time.Duration(doc.IdleTransaction))
+	}
+	return c.conn.SetIdleDeadline(deadline) == nil
+}
+
+func (c *callerSession) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+func (c *callerSession) rollback(ref unit.TxRef) {
+	if ref.Open() {
+		c.server.opts.Executor.Rollback(ref)
+	}
+}
+
+// answerStatement returns the answer to one statement, and records the error of a statement that failed.
+func (c *callerSession) answerStatement(st Statement) Answer {
+	start := time.Now()
+	u, a, rollback := c.session.Plan(st, c.currentPolicy)
+	c.rollback(rollback)
+	if u != nil {
+		a = c.execute(st, u, start)
+	}
+	if a.Err != nil {
+		c.recordFailure(st, a, start)
+	}
+	return a
+}
+
+// execute runs the unit with its target as the deadline, updates the session with the result and returns the answer.
+func (c *callerSession) execute(st Statement, u *unit.Unit, start time.Time) Answer {
+	u.Arrived = start
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(u.Target))
+	defer cancel()
+	var answer answerBuffer
+	res := c.server.opts.Executor.Execute(ctx, u, &answer)
+	a, rollback := c.session.ApplyResult(st, u, res, answer.messages)
+	c.rollback(rollback)
+	code := ""
+	if res.Err != nil {
+		code = errkind.Of(res.Err).Code
+	}
+	c.server.opts.ObserveRequest(u.Class, res.Outcome, code, time.Since(start))
+	return a
+}
+
+func (c *callerSession) recordFailure(st Statement, a Answer, start time.Time) {
+	now := time.Now()
+	c.server.opts.RecordFailure(requestlog.Entry{
+		Time: now, Request: st.ID, Database: c.database, Service: c.session.policy.Route.Service, Class: c.session.policy.Class.Name,
+		State: string(a.TxStatus), Took: now.Sub(start), Err: a.Err,
+	})
+}
+
+// answerBuffer collects the whole answer of a unit. Answers of members have a few kilobytes, so that none is streamed.
+type answerBuffer struct{ messages []byte }
+
+// Write implements unit.Sink.
+func (s *answerBuffer) Write(_ context.Context, messages []byte) error {
+	s.messages = append(s.messages, messages...)
+	return nil
+}
