pkg/session: log the callers by state at each step of a drain, and statements that it leaves unanswered

Each step logs the counts; at the limit of the drain up to 16 unanswered statements are logged with their id, database and age.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -22,11 +22,22 @@
 	database string
 
 	mu             sync.Mutex
-	reading        bool // guarded by mu; the session waits for a statement
-	inTx           bool // guarded by mu; a transaction was open when the session began to wait for the last statement
+	state          callerState // guarded by mu
+	inTx           bool        // guarded by mu; a transaction was open when the session began to wait for the last statement
+	request        string      // guarded by mu; id of the last statement that was read
+	requestRead    time.Time   // guarded by mu; when that statement was read
 	closeRequested atomic.Bool
 }
 
+// callerState says what a session is doing.
+type callerState uint8
+
+const (
+	callerStarting  callerState = iota // the startup is not answered yet
+	callerReading                      // the session waits for a statement
+	callerExecuting                    // the last statement is not answered yet
+)
+
 // interrupt requests that the session closes, and ends its wait for a statement. A session in a transaction is left alone
 // unless transactions is set.
 func (c *callerSession) interrupt(transactions bool) {
@@ -34,7 +45,7 @@
 	defer c.mu.Unlock()
 	if !c.inTx || transactions {
 		c.closeRequested.Store(true)
-		if c.reading {
+		if c.state == callerReading {
 			_ = c.conn.SetIdleDeadline(time.Unix(1, 0))
 		}
 	}
@@ -98,7 +109,7 @@
 			return Statement{}, errDraining
 		}
 		st, err := c.conn.ReadStatement()
-		c.stopReading()
+		c.stopReading(st.ID)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return st, err
 		}
@@ -116,7 +127,7 @@
 func (c *callerSession) startReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading, c.inTx = true, !c.session.Idle()
+	c.state, c.inTx = callerReading, !c.session.Idle()
 	if c.closeRequested.Load() {
 		return false
 	}
@@ -127,10 +138,10 @@
 	return c.conn.SetIdleDeadline(deadline) == nil
 }
 
-func (c *callerSession) stopReading() {
+func (c *callerSession) stopReading(request string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.state, c.request, c.requestRead = callerExecuting, request, time.Now()
 }
 
 func (c *callerSession) rollback(ref unit.TxRef) {
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 )
 
@@ -17,17 +19,23 @@
 		end = time.Now().Add(time.Minute)
 	}
 	start := time.Now()
+	s.logDrain("serving as before", start)
 	if !s.waitUntilEmpty(ctx, start.Add(min(s.opts.DrainGrace, end.Sub(start)/3))) {
 		s.close()
+		s.logDrain("asking callers outside transactions to leave", start)
 		s.interrupt(false)
 		if !s.waitUntilEmpty(ctx, start.Add(end.Sub(start)*2/3)) {
+			s.logDrain("asking callers that idle in a transaction to leave", start)
 			s.interrupt(true)
 		}
 	}
 	if s.waitUntilEmpty(ctx, end) {
 		s.close()
+		s.logDrain("ended", start)
 		return nil
 	}
+	s.logDrain("ended by its limit", start)
+	s.logUnanswered()
 	return errkind.New(errkind.Draining, "statements of %d callers are still in progress", s.Connections())
 }
 
@@ -72,3 +80,58 @@
 		c.interrupt(transactions)
 	}
 }
+
+// callerCounts counts the callers of a server by what their sessions are doing.
+type callerCounts struct {
+	starting, idle, idleInTransaction, executing int
+}
+
+func (s *Server) countCallers() callerCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n callerCounts
+	for c := range s.callers {
+		c.mu.Lock()
+		switch {
+		case c.state == callerStarting:
+			n.starting++
+		case c.state == callerExecuting:
+			n.executing++
+		case c.inTx:
+			n.idleInTransaction++
+		default:
+			n.idle++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+// logDrain logs a step of a drain that began at start.
+func (s *Server) logDrain(step string, start time.Time) {
+	n := s.countCallers()
+	s.opts.Log.WithFields(logrus.Fields{
+		"step": step, "after": time.Since(start).Round(time.Millisecond).String(), "starting": n.starting, "idle": n.idle,
+		"idle_in_transaction": n.idleInTransaction, "executing": n.executing,
+	}).Info("draining callers")
+}
+
+// maxUnansweredLogged bounds the statements that logUnanswered logs one by one.
+const maxUnansweredLogged = 16
+
+// logUnanswered logs the statements that have not been answered.
+func (s *Server) logUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	logged := 0
+	for c := range s.callers {
+		c.mu.Lock()
+		if c.state == callerExecuting && logged < maxUnansweredLogged {
+			logged++
+			s.opts.Log.WithFields(logrus.Fields{
+				"request": c.request, "database": c.database, "took": time.Since(c.requestRead).Round(time.Millisecond).String(),
+			}).Warn("statement is not answered at the end of the drain")
+		}
+		c.mu.Unlock()
+	}
+}
