--- /dev/null
+++ b/pkg/session/drain_test.go
@@ -0,0 +1,100 @@
+package session
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
+)
+
+// drainTest is a server whose callers connect when the test says so.
+type drainTest struct {
+	*Server
+	listener *pipeListener
+	callers  chan *fakeCaller
+}
+
+// newDrainTest starts a server with a drain grace of 2 s, whose statements may take 10 s. beforePolicy is called before the
+// policy of a session is read; nil for nothing.
+func newDrainTest(t *testing.T, e fakeExecutor, beforePolicy func()) *drainTest {
+	doc := &clusterconfig.Document{Version: 1, Default: "session", Classes: []clusterconfig.Class{classWith(clusterconfig.ConsistencySession)},
+		Routes: []clusterconfig.Route{{Database: "db", Service: "svc", Class: "session", Timeout: clusterconfig.Duration(10 * time.Second)}}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := &drainTest{listener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, callers: make(chan *fakeCaller, 1)}
+	d.Server = NewServer(Options{Protocol: func(net.Conn) CallerConn { return <-d.callers }, Executor: e, Log: log, MaxConnections: 4,
+		Document: func() *clusterconfig.Document {
+			if beforePolicy != nil {
+				beforePolicy()
+			}
+			return doc
+		},
+		DrainGrace: 2 * time.Second, RecordFailure: func(requestlog.Entry) {},
+		ObserveRequest: func(string, errkind.Outcome, string, time.Duration) {}})
+	t.Cleanup(d.close)
+	go func() { _ = d.Serve(d.listener) }()
+	return d
+}
+
+// connect connects a caller, or returns nil if the server does not accept any.
+func (d *drainTest) connect(t *testing.T) *fakeCaller {
+	f := newFakeCaller()
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	select {
+	case <-d.listener.closed:
+		return nil
+	case d.listener.conns <- a:
+		t.Cleanup(func() { close(f.statements) })
+		d.callers <- f
+		synctest.Wait()
+		return f
+	}
+}
+
+// drain starts a drain with a limit of 6 s. The returned function waits for its end and returns its error and duration.
+func (d *drainTest) drain(t *testing.T) func() (error, time.Duration) {
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	t.Cleanup(cancel)
+	type end struct {
+		err error
+		at  time.Time
+	}
+	ended := make(chan end, 1)
+	start := time.Now()
+	go func() {
+		err := d.Drain(ctx)
+		ended <- end{err, time.Now()}
+	}()
+	synctest.Wait()
+	return func() (error, time.Duration) {
+		d := <-ended
+		return d.err, d.at.Sub(start)
+	}
+}
+
+// A server that has no caller when it begins to drain must accept none after its grace: their statements would be cut off
+// at the end of the stop.
+func TestDrainWithoutCallersStopsAccepting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t, fakeExecutor{}, nil)
+		wait := d.drain(t)
+		time.Sleep(1900 * time.Millisecond)
+		early := d.connect(t)
+		require.NotNil(t, early, "callers are accepted until the grace ends")
+		time.Sleep(3 * time.Second)
+		require.Nil(t, d.connect(t), "a caller was accepted after the grace")
+		err, took := wait()
+		require.NoError(t, err)
+		require.Equal(t, 2*time.Second, took)
+	})
+}
