pkg/session: a drain always stops accepting at the end of its grace

Cause: Drain waited for the grace in waitUntilEmpty, which then reported the count that it had taken before it slept. A VM that got SIGTERM before its first caller had counted none, so that Drain skipped closing the listener and asking callers to leave, served until its limit, and ended the process under the callers that had connected since.

Evidence: in the logs of the drain, each one that ended by its limit lacks the step that asks callers to leave; each began with no caller. Ruled out for these: statements that outlast the stop (the given-up ones were 14 to 201 ms old), transactions cut off (idle callers were left too).

Why this works: the grace is now a plain wait, and what follows it depends on no count. A wait for the last caller counts again when it ends, and starts only once no caller can be added.

Before: TestDrainWithoutCallersStopsAccepting failed.

--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -20,17 +20,15 @@
 	}
 	start := time.Now()
 	s.logDrain("serving as before", start)
-	if !s.waitUntilEmpty(ctx, start.Add(min(s.opts.DrainGrace, end.Sub(start)/3))) {
-		s.close()
-		s.logDrain("asking callers outside transactions to leave", start)
-		s.interrupt(false)
-		if !s.waitUntilEmpty(ctx, start.Add(end.Sub(start)*2/3)) {
-			s.logDrain("asking callers that idle in a transaction to leave", start)
-			s.interrupt(true)
-		}
+	sleepUntil(ctx, start.Add(min(s.opts.DrainGrace, end.Sub(start)/3)))
+	s.close()
+	s.logDrain("asking callers outside transactions to leave", start)
+	s.interrupt(false)
+	if !s.waitUntilEmpty(ctx, start.Add(end.Sub(start)*2/3)) {
+		s.logDrain("asking callers that idle in a transaction to leave", start)
+		s.interrupt(true)
 	}
 	if s.waitUntilEmpty(ctx, end) {
-		s.close()
 		s.logDrain("ended", start)
 		return nil
 	}
@@ -49,24 +47,34 @@
 	s.listeners = nil
 }
 
-// waitUntilEmpty waits until the server is closing and no caller is left, at most until the given time. It reports whether
-// no caller is left then, and false if ctx ends first.
+// sleepUntil waits until the given time or until ctx ends.
+func sleepUntil(ctx context.Context, until time.Time) {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// waitUntilEmpty waits until no caller is left, at most until the given time or the end of ctx, and reports whether none is
+// left then. It is called once the server is closing, so that no caller is added.
 func (s *Server) waitUntilEmpty(ctx context.Context, until time.Time) bool {
 	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
 	for {
 		s.mu.Lock()
-		n, callerLeft, closing := len(s.callers), s.callerLeft, s.closing
+		n, callerLeft := len(s.callers), s.callerLeft
 		s.mu.Unlock()
-		if n == 0 && closing {
+		if n == 0 {
 			return true
 		}
 		select {
 		case <-callerLeft:
 		case <-t.C:
-			return n == 0
+			return s.Connections() == 0
 		case <-ctx.Done():
-			return false
+			return s.Connections() == 0
 		}
 	}
 }
