pkg/session: a transaction that begins while its session is asked to leave may end

Callers would see: a transaction whose first statement was being answered at the end of the drain's grace met a closed connection at its second, although transactions have until two thirds of the drain.

Cause: interrupt set a request to close from the status that the session had before that statement, and the request stayed set. pkg/frontend takes such a request back; pkg/session did not.

What sessions have to do in a drain is now one phase of the server, which each session reads with its own present status before it waits for a statement; there is no copy of it in the session.

Evidence: TestTransactionBegunWhileDraining, "the session ended before statement 6" before.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -5,7 +5,6 @@
 	"errors"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
@@ -21,12 +20,11 @@
 	session  *Session
 	database string
 
-	mu             sync.Mutex
-	state          callerState // guarded by mu
-	inTx           bool        // guarded by mu; a transaction was open when the session began to wait for the last statement
-	request        string      // guarded by mu; id of the last statement that was read
-	requestRead    time.Time   // guarded by mu; when that statement was read
-	closeRequested atomic.Bool
+	mu          sync.Mutex
+	state       callerState // guarded by mu
+	inTx        bool        // guarded by mu; a transaction was open when the session began to wait for the last statement
+	request     string      // guarded by mu; id of the last statement that was read
+	requestRead time.Time   // guarded by mu; when that statement was read
 }
 
 // callerState says what a session is doing.
@@ -38,19 +36,25 @@
 	callerExecuting                    // the last statement is not answered yet
 )
 
-// interrupt requests that the session closes, and ends its wait for a statement. A session in a transaction is left alone
-// unless transactions is set.
-func (c *callerSession) interrupt(transactions bool) {
+// mustEnd reports whether the session ends instead of reading another statement. inTx says whether a transaction is open.
+func (p drainPhase) mustEnd(inTx bool) bool {
+	return p == endingTransactions || p == endingIdleSessions && !inTx
+}
+
+// wake ends the session's wait for a statement if the session must end in the given phase.
+func (c *callerSession) wake(p drainPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.inTx || transactions {
-		c.closeRequested.Store(true)
-		if c.state == callerReading {
-			_ = c.conn.SetIdleDeadline(time.Unix(1, 0))
-		}
+	if c.state == callerReading && p.mustEnd(c.inTx) {
+		_ = c.conn.SetIdleDeadline(time.Unix(1, 0))
 	}
 }
 
+// mustEnd reports whether the session must end now that its last statement has been answered.
+func (c *callerSession) mustEnd() bool {
+	return drainPhase(c.server.phase.Load()).mustEnd(!c.session.Idle())
+}
+
 func (c *callerSession) serve() {
 	defer c.server.remove(c)
 	defer func() { _ = c.conn.Close() }()
@@ -68,9 +72,6 @@
 		if c.conn.WriteAnswer(a) != nil {
 			return
 		}
-		if c.session.Idle() && (c.closeRequested.Load() || c.server.isClosing()) {
-			return
-		}
 	}
 }
 
@@ -113,7 +114,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return st, err
 		}
-		if c.closeRequested.Load() {
+		if c.mustEnd() {
 			return Statement{}, errDraining
 		}
 		c.server.opts.Log.WithField("database", c.database).Info("transaction of a caller was idle too long; rolling it back")
@@ -128,7 +129,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.inTx = callerReading, !c.session.Idle()
-	if c.closeRequested.Load() {
+	if c.mustEnd() {
 		return false
 	}
 	var deadline time.Time
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -9,6 +9,15 @@
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 )
 
+// drainPhase says which sessions are to end before they read another statement. It only increases.
+type drainPhase int32
+
+const (
+	serving            drainPhase = iota
+	endingIdleSessions            // those outside transactions
+	endingTransactions            // all
+)
+
 // Drain ends the service within the time that ctx leaves, one minute if ctx has no deadline. It serves callers as before
 // for the drain grace, at most a third of the time, and then closes each caller that is outside a transaction. In the last
 // third of the time it also closes callers that idle in a transaction, which is rolled back; statements in progress still
@@ -23,10 +32,10 @@
 	sleepUntil(ctx, start.Add(min(s.opts.DrainGrace, end.Sub(start)/3)))
 	s.close()
 	s.logDrain("asking callers outside transactions to leave", start)
-	s.interrupt(false)
+	s.enter(endingIdleSessions)
 	if !s.waitUntilEmpty(ctx, start.Add(end.Sub(start)*2/3)) {
 		s.logDrain("asking callers that idle in a transaction to leave", start)
-		s.interrupt(true)
+		s.enter(endingTransactions)
 	}
 	if s.waitUntilEmpty(ctx, end) {
 		s.logDrain("ended", start)
@@ -79,13 +88,14 @@
 	}
 }
 
-// interrupt asks the callers outside transactions to leave, and with transactions set also those in one. Callers that wait
-// for a statement are woken.
-func (s *Server) interrupt(transactions bool) {
+// enter begins a phase of the drain. Sessions that are to end and wait for a statement are woken; the others read the phase
+// before they wait.
+func (s *Server) enter(p drainPhase) {
+	s.phase.Store(int32(p))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.callers {
-		c.interrupt(transactions)
+		c.wake(p)
 	}
 }
 
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
 // drainTest is a server whose callers connect when the test says so.
@@ -98,3 +99,38 @@
 		require.Equal(t, 2*time.Second, took)
 	})
 }
+
+// send sends a statement and returns the answer, or false if the session has ended.
+func (f *fakeCaller) send(k Kind) (Answer, bool) {
+	select {
+	case f.statements <- statement(k):
+		return <-f.answers, true
+	case <-time.After(time.Minute):
+		return Answer{}, false
+	}
+}
+
+// A transaction that begins while its session is asked to leave must have until two thirds of the drain to end.
+func TestTransactionBegunWhileDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var delay time.Duration
+		d := newDrainTest(t, fakeExecutor{rollbacks: make(chan unit.TxRef, 1), execute: func(_ context.Context, u *unit.Unit) unit.Result {
+			if u.Tx.Open() {
+				return doneResult('I', unit.TxRef{})
+			}
+			return doneResult('T', openTx)
+		}}, func() { time.Sleep(delay) })
+		f := d.connect(t)
+		wait := d.drain(t)
+		time.Sleep(1900 * time.Millisecond)
+		delay = 200 * time.Millisecond // the drain asks callers to leave meanwhile
+		for _, k := range []Kind{KindBegin, KindWrite, KindCommit} {
+			a, ok := f.send(k)
+			require.True(t, ok, "the session ended before statement %d", k)
+			require.NoError(t, a.Err)
+		}
+		err, took := wait()
+		require.NoError(t, err)
+		require.Less(t, took, 4*time.Second)
+	})
+}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,11 +61,12 @@
 type Server struct {
 	opts           Options
 	acceptLogLimit loglimit.Limiter
+	phase          atomic.Int32 // a drainPhase
 
 	mu         sync.Mutex
 	callers    map[*callerSession]struct{} // guarded by mu
 	listeners  []net.Listener              // guarded by mu
-	closing    bool                        // guarded by mu; callers are refused, and closed once without a transaction
+	closing    bool                        // guarded by mu; callers are refused
 	callerLeft chan struct{}               // guarded by mu; closed and replaced when a caller leaves
 }
 
@@ -123,9 +125,3 @@
 	defer s.mu.Unlock()
 	return len(s.callers)
 }
-
-func (s *Server) isClosing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closing
-}
