pkg/session: statements that outlast a drain are answered before it ends

Callers would see: a statement whose timeout reaches beyond the end of the process is given up with no answer; routes of the first users have timeouts of 2.5 to 6 s, the drain has 4.5 s.

Cause: each statement got its route's whole timeout, however little of the stop was left, and nothing ended it before the process did.

The contexts of all units now have one parent, which the drain cancels 500 ms before its end. The answer says what is known: not run, or of unknown outcome, and not that the caller cancelled the request.

Evidence: TestStatementOutlastsDrain, "statements of 1 callers are still in progress" before.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -168,10 +168,13 @@
 // execute runs the unit with its target as the deadline, updates the session with the result and returns the answer.
 func (c *callerSession) execute(st Statement, u *unit.Unit, start time.Time) Answer {
 	u.Arrived = start
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(u.Target))
+	ctx, cancel := context.WithDeadline(c.server.units, start.Add(u.Target))
 	defer cancel()
 	var answer answerBuffer
 	res := c.server.opts.Executor.Execute(ctx, u, &answer)
+	if res.Err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		res.Err = c.server.cancelledByDrain(u, res)
+	}
 	a, rollback := c.session.ApplyResult(st, u, res, answer.messages)
 	c.rollback(rollback)
 	code := ""
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
 // drainPhase says which sessions are to end before they read another statement. It only increases.
@@ -18,10 +19,14 @@
 	endingTransactions            // all
 )
 
+// answerReserve is the time before the end of a drain at which statements in progress are cancelled, so that their callers
+// are still told what is known of the outcome.
+const answerReserve = 500 * time.Millisecond
+
 // Drain ends the service within the time that ctx leaves, one minute if ctx has no deadline. It serves callers as before
 // for the drain grace, at most a third of the time, and then closes each caller that is outside a transaction. In the last
-// third of the time it also closes callers that idle in a transaction, which is rolled back; statements in progress still
-// finish. It returns nil once no caller is left.
+// third of the time it also closes callers that idle in a transaction, which is rolled back. Statements in progress finish,
+// or are cancelled answerReserve before the end. It returns nil once no caller is left.
 func (s *Server) Drain(ctx context.Context) error {
 	end, ok := ctx.Deadline()
 	if !ok {
@@ -37,6 +42,10 @@
 		s.logDrain("asking callers that idle in a transaction to leave", start)
 		s.enter(endingTransactions)
 	}
+	if !s.waitUntilEmpty(ctx, end.Add(-min(answerReserve, end.Sub(start)/3))) {
+		s.logDrain("cancelling statements in progress", start)
+		s.cancelUnits()
+	}
 	if s.waitUntilEmpty(ctx, end) {
 		s.logDrain("ended", start)
 		return nil
@@ -56,6 +65,19 @@
 	s.listeners = nil
 }
 
+// cancelledByDrain returns the error of a unit that was cancelled at the end of a drain. Its kind says what is known of the
+// unit's outcome, in place of the kind for a request that its caller has cancelled.
+func (s *Server) cancelledByDrain(u *unit.Unit, res unit.Result) error {
+	kind := errkind.ReadFailed
+	switch {
+	case res.Outcome == errkind.OutcomeNotRun:
+		kind = errkind.Draining
+	case u.Write:
+		kind = errkind.RequestOutcomeUnknown
+	}
+	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", s.opts.VMName)
+}
+
 // sleepUntil waits until the given time or until ctx ends.
 func sleepUntil(ctx context.Context, until time.Time) {
 	t := time.NewTimer(time.Until(until))
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -134,3 +134,35 @@
 		require.Less(t, took, 4*time.Second)
 	})
 }
+
+// A statement whose time reaches beyond the end of the drain must be answered before it ends, with what is known of its
+// outcome.
+func TestStatementOutlastsDrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind Kind
+		res  unit.Result
+		want errkind.Kind
+	}{
+		"a write that may have run": {KindWrite, unit.Failed(errkind.New(errkind.Cancelled, "the caller cancelled the request")), errkind.RequestOutcomeUnknown},
+		"a read":                    {KindRead, unit.Failed(errkind.New(errkind.Cancelled, "the caller cancelled the request")), errkind.ReadFailed},
+		"a write that did not run":  {KindWrite, unit.NotRun(errkind.New(errkind.Cancelled, "the caller cancelled the request")), errkind.Draining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDrainTest(t, fakeExecutor{rollbacks: make(chan unit.TxRef, 1), execute: func(ctx context.Context, _ *unit.Unit) unit.Result {
+					<-ctx.Done()
+					return c.res
+				}}, nil)
+				f := d.connect(t)
+				f.statements <- statement(c.kind)
+				wait := d.drain(t)
+				err, took := wait()
+				require.NoError(t, err)
+				require.Less(t, took, 6*time.Second)
+				require.Len(t, f.answers, 1)
+				a := <-f.answers
+				require.True(t, errkind.Is(a.Err, c.want), "%v", a.Err)
+			})
+		})
+	}
+}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -61,7 +62,9 @@
 type Server struct {
 	opts           Options
 	acceptLogLimit loglimit.Limiter
-	phase          atomic.Int32 // a drainPhase
+	phase          atomic.Int32    // a drainPhase
+	units          context.Context // parent of the contexts of all units; cancelled at the end of a drain
+	cancelUnits    context.CancelFunc
 
 	mu         sync.Mutex
 	callers    map[*callerSession]struct{} // guarded by mu
@@ -72,7 +75,9 @@
 
 // NewServer returns a server that listens nowhere yet.
 func NewServer(o Options) *Server {
-	return &Server{opts: o, callers: map[*callerSession]struct{}{}, callerLeft: make(chan struct{})}
+	s := &Server{opts: o, callers: map[*callerSession]struct{}{}, callerLeft: make(chan struct{})}
+	s.units, s.cancelUnits = context.WithCancel(context.Background())
+	return s
 }
 
 // Serve accepts callers until the listener is closed.
