--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -34,6 +34,7 @@
 	callerStarting  callerState = iota // the startup is not answered yet
 	callerReading                      // the session waits for a statement
 	callerExecuting                    // the last statement is not answered yet
+	callerLeaving                      // the caller was told that its session ends
 )
 
 // mustEnd reports whether the session ends instead of reading another statement. inTx says whether a transaction is open.
@@ -65,6 +66,9 @@
 	defer func() { c.rollback(c.session.Abandon()) }()
 	for {
 		st, err := c.nextStatement()
+		if errors.Is(err, errDraining) {
+			c.end()
+		}
 		if err != nil {
 			return
 		}
@@ -75,6 +79,22 @@
 	}
 }
 
+// leaveTimeout is how long a caller has to close its connection after it was told that its session ends.
+const leaveTimeout = time.Second
+
+// end rolls back the open transaction, if any, and tells the caller that its session ends.
+func (c *callerSession) end() {
+	reason := c.server.drainingError()
+	if !c.session.Idle() {
+		reason = errkind.New(errkind.TransactionLost, "entry VM %s is stopping, the transaction was idle for too long", c.server.opts.VMName)
+	}
+	c.rollback(c.session.Abandon())
+	c.mu.Lock()
+	c.state = callerLeaving
+	c.mu.Unlock()
+	c.conn.EndSession(reason, time.Now().Add(leaveTimeout))
+}
+
 // startup reads and answers the caller's startup and reports whether the session was accepted.
 func (c *callerSession) startup() bool {
 	var err error
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -65,6 +65,10 @@
 	s.listeners = nil
 }
 
+func (s *Server) drainingError() error {
+	return errkind.New(errkind.Draining, "entry VM %s is stopping", s.opts.VMName)
+}
+
 // cancelledByDrain returns the error of a unit that was cancelled at the end of a drain. Its kind says what is known of the
 // unit's outcome, in place of the kind for a request that its caller has cancelled.
 func (s *Server) cancelledByDrain(u *unit.Unit, res unit.Result) error {
@@ -123,7 +127,7 @@
 
 // callerCounts counts the callers of a server by what their sessions are doing.
 type callerCounts struct {
-	starting, idle, idleInTransaction, executing int
+	starting, idle, idleInTransaction, executing, leaving int
 }
 
 func (s *Server) countCallers() callerCounts {
@@ -137,6 +141,8 @@
 			n.starting++
 		case c.state == callerExecuting:
 			n.executing++
+		case c.state == callerLeaving:
+			n.leaving++
 		case c.inTx:
 			n.idleInTransaction++
 		default:
@@ -152,7 +158,7 @@
 	n := s.countCallers()
 	s.opts.Log.WithFields(logrus.Fields{
 		"step": step, "after": time.Since(start).Round(time.Millisecond).String(), "starting": n.starting, "idle": n.idle,
-		"idle_in_transaction": n.idleInTransaction, "executing": n.executing,
+		"idle_in_transaction": n.idleInTransaction, "executing": n.executing, "leaving": n.leaving,
 	}).Info("draining callers")
 }
 
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -47,8 +47,9 @@
 }
 
 // connect connects a caller, or returns nil if the server does not accept any.
-func (d *drainTest) connect(t *testing.T) *fakeCaller {
-	f := newFakeCaller()
+func (d *drainTest) connect(t *testing.T) *fakeCaller { return d.connectCaller(t, newFakeCaller()) }
+
+func (d *drainTest) connectCaller(t *testing.T, f *fakeCaller) *fakeCaller {
 	a, b := net.Pipe()
 	t.Cleanup(func() { a.Close(); b.Close() })
 	select {
@@ -166,3 +167,19 @@
 		})
 	}
 }
+
+// A caller that gets no reason could take a statement that crosses with the end of its session as one of unknown outcome.
+func TestSessionsAreToldWhyTheyEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t, fakeExecutor{}, nil)
+		idle, inTransaction := d.connect(t), d.connect(t)
+		_, ok := inTransaction.send(KindBegin)
+		require.True(t, ok)
+		wait := d.drain(t)
+		require.True(t, errkind.Is(<-idle.ended, errkind.Draining))
+		require.True(t, errkind.Is(<-inTransaction.ended, errkind.TransactionLost))
+		err, took := wait()
+		require.NoError(t, err)
+		require.Equal(t, 4*time.Second, took)
+	})
+}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -31,6 +31,9 @@
 	// SetIdleDeadline sets the time at which ReadStatement stops waiting and returns os.ErrDeadlineExceeded. The zero time
 	// means no deadline.
 	SetIdleDeadline(time.Time) error
+	// EndSession tells the caller, which has got all its answers, that the session ends for the given reason. It refuses
+	// statements that the caller sent before it learnt that, until the caller closes the connection or the deadline passes.
+	EndSession(reason error, deadline time.Time)
 	Close() error
 }
 
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -194,16 +195,37 @@
 	statements chan Statement
 	answers    chan Answer
 	deadline   chan time.Time
+	ended      chan error    // receives the reason with which the session is ended
+	startup    chan struct{} // closed once the startup is sent
+	closed     chan struct{}
+	closeOnce  sync.Once
 }
 
 func newFakeCaller() *fakeCaller {
-	return &fakeCaller{make(chan Statement), make(chan Answer, 16), make(chan time.Time, 16)}
+	f := &fakeCaller{statements: make(chan Statement), answers: make(chan Answer, 16), deadline: make(chan time.Time, 16),
+		ended: make(chan error, 1), startup: make(chan struct{}), closed: make(chan struct{})}
+	close(f.startup)
+	return f
 }
 
-func (f *fakeCaller) ReadStartup() (string, error)  { return "db", nil }
+func (f *fakeCaller) ReadStartup() (string, error) {
+	select {
+	case <-f.startup:
+		return "db", nil
+	case <-f.closed:
+		return "", net.ErrClosed
+	}
+}
 func (f *fakeCaller) AnswerStartup(err error) error { return err }
 func (f *fakeCaller) WriteAnswer(a Answer) error    { f.answers <- a; return nil }
-func (f *fakeCaller) Close() error                  { return nil }
+func (f *fakeCaller) EndSession(reason error, _ time.Time) {
+	f.ended <- reason
+}
+
+func (f *fakeCaller) Close() error {
+	f.closeOnce.Do(func() { close(f.closed) })
+	return nil
+}
 func (f *fakeCaller) SetIdleDeadline(t time.Time) error {
 	f.deadline <- t
 	return nil
