pkg/session: a connection without a startup does not hold up a drain

A connection on which no startup arrives kept the drain waiting until its limit, or the 5 s that a startup may take, and was counted as a statement in progress. It is closed when transactions are ended. A startup that arrives after the grace is refused as not run, so that the caller does not begin a session that ends at once.

Evidence: TestConnectionWithoutStartupDoesNotHoldUpDrain failed before (the drain ended by its limit).

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -42,12 +42,16 @@
 	return p == endingTransactions || p == endingIdleSessions && !inTx
 }
 
-// wake ends the session's wait for a statement if the session must end in the given phase.
+// wake ends the session's wait for a statement if the session must end in the given phase. A caller whose startup has not
+// arrived by the last phase is disconnected.
 func (c *callerSession) wake(p drainPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == callerReading && p.mustEnd(c.inTx) {
+	switch {
+	case c.state == callerReading && p.mustEnd(c.inTx):
 		_ = c.conn.SetIdleDeadline(time.Unix(1, 0))
+	case c.state == callerStarting && p == endingTransactions:
+		_ = c.conn.Close()
 	}
 }
 
@@ -101,7 +105,9 @@
 	if c.database, err = c.conn.ReadStartup(); err != nil {
 		return false
 	}
-	_, err = c.currentPolicy()
+	if _, err = c.currentPolicy(); err == nil && c.mustEnd() {
+		err = c.server.drainingError()
+	}
 	if err != nil {
 		c.server.opts.RecordFailure(requestlog.Entry{Time: time.Now(), Database: c.database, Err: err})
 	}
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -183,3 +183,16 @@
 		require.Equal(t, 4*time.Second, took)
 	})
 }
+
+// A connection on which no startup arrives must not hold up the drain until its limit.
+func TestConnectionWithoutStartupDoesNotHoldUpDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t, fakeExecutor{}, nil)
+		f := newFakeCaller()
+		f.startup = make(chan struct{})
+		d.connectCaller(t, f)
+		err, took := d.drain(t)()
+		require.NoError(t, err)
+		require.Equal(t, 4*time.Second, took)
+	})
+}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -17,8 +17,8 @@
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
-// CallerConn is the connection of one caller, decoded by a Protocol. One goroutine calls all methods; only
-// SetIdleDeadline may also be called by another goroutine while ReadStatement waits.
+// CallerConn is the connection of one caller, decoded by a Protocol. One goroutine calls all methods; another one may also
+// call SetIdleDeadline while ReadStatement waits, and Close while ReadStartup waits.
 type CallerConn interface {
 	// ReadStartup reads the caller's startup and returns the database that it names.
 	ReadStartup() (database string, err error)
