daemon: a stop ends before the platform's SIGKILL, and the drain may use the time until then

Cause, from reading: after the drain of callers the daemon gave units of other VMs 2.5 s, and the whole rest 5 s, from constants that do not know of the 6 s between SIGTERM and SIGKILL: 4.5 s of drain and 2.5 s end 1 s after SIGKILL. The drain itself ended at 4.5 s, although work at a member that ends before the last sixth of the 6 s is owed an answer.

The time after the drain is now the setting limits.close (5 s as before).

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -48,12 +48,7 @@
 	nameReadiness   = "readiness"
 )
 
-const (
-	startTimeout = 15 * time.Second
-	// stopMargin is the time that a shutdown may take beyond the drain limit, to finish the last units and close
-	// connections.
-	stopMargin = 5 * time.Second
-)
+const startTimeout = 15 * time.Second
 
 // Run runs a daemon until SIGTERM, SIGINT or a request to shut down, and returns after the graceful shutdown. It returns
 // at once if a kernel service cannot be built or started.
@@ -69,7 +64,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(time.Duration(s.Limits.Drain)+stopMargin),
+		fx.StopTimeout(time.Duration(s.Limits.Drain+s.Limits.Close)),
 		kernel.Module(factories(s, e.withDefaults(s))...),
 	)
 	if err := app.Err(); err != nil {
--- a/pkg/daemon/serve.go
+++ b/pkg/daemon/serve.go
@@ -58,6 +58,7 @@
 	// drainDeadline is the time at which idle transactions are rolled back. The front end, which stops first, sets it, so
 	// that the same limit holds for its own callers and for those of other daemons.
 	drainDeadline time.Time
+	closeLimit    time.Duration
 }
 
 func newPeerServer(k *kernel.Kernel) (any, error) {
@@ -67,7 +68,9 @@
 	options.TLS = kernel.MustLookup[*tlsConfigs](k, nameTLS).peerServer
 	executor := &peerExecutor{Set: owners}
 	options.Executor = executor
-	p := &peerServer{server: peer.NewServer(options), addr: s.Listen.Peers, peerExecutor: executor}
+	p := &peerServer{
+		server: peer.NewServer(options), addr: s.Listen.Peers, peerExecutor: executor, closeLimit: time.Duration(s.Limits.Close),
+	}
 	p.server.Handle(wire.TypeHeartbeat, kernel.MustLookup[*membership.View](k, nameMembership).Heartbeat)
 	p.server.Handle(wire.TypeListsRequest, listsHandler(k))
 	p.server.Handle(wire.TypeViewRequest, viewHandler(kernel.MustLookup[watcher](k, nameWatcher)))
@@ -99,13 +102,13 @@
 func (p *peerServer) Start(context.Context) error { return listenAndServe(p.addr, p.server.Serve) }
 
 // Stop waits until other daemons have no unit or transaction in progress here and send no more, then closes. At
-// drainDeadline it stops waiting and rolls back idle transactions; units in progress get half of stopMargin to finish.
+// drainDeadline it stops waiting and rolls back idle transactions; units in progress get half of the close limit to finish.
 func (p *peerServer) Stop(ctx context.Context) error {
 	start := time.Now()
 	for (p.peerExecutor.InProgress() > 0 || !p.peerExecutor.quietPeriodElapsed(start)) && ctx.Err() == nil && time.Now().Before(p.drainDeadline) {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithDeadline(ctx, p.drainDeadline.Add(stopMargin/2))
+	ctx, cancel := context.WithDeadline(ctx, p.drainDeadline.Add(p.closeLimit/2))
 	defer cancel()
 	p.server.Shutdown(ctx)
 	return nil
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -64,6 +64,9 @@
 	DrainGrace clusterconfig.Duration `json:"drainGrace" validate:"min=0,max=60000000000"`
 	// Drain is how long callers have to finish their units and transactions during a graceful shutdown.
 	Drain clusterconfig.Duration `json:"drain" validate:"min=1000000000,max=600000000000"`
+	// Close is how long the daemon may take after Drain to finish units of other daemons and to close connections. The
+	// process ends at most Drain and Close after the signal to stop.
+	Close clusterconfig.Duration `json:"close" validate:"min=100000000,max=60000000000"`
 }
 
 // Link describes the link between regions.
@@ -110,6 +113,7 @@
 			CallerConnections: 20000,
 			DrainGrace:        clusterconfig.Duration(2 * time.Second),
 			Drain:             clusterconfig.Duration(clusterconfig.MaxLatency),
+			Close:             clusterconfig.Duration(5 * time.Second),
 		},
 		Link:      Link{BitsPerSecond: 30_000_000},
 		Placement: Placement{Stand: clusterconfig.Duration(placement.DefaultMinTenure)},
