configsync: peers know of a version before callers are served by it

Nothing in the rule of the majority was wrong: it presumes that peers know what a VM has served.

Change: a version that replaces another is kept and announced as before, but serves callers only after half (rounded up) of the other listed VMs of the data centre have confirmed that they know of it, in answer to a ConfigRequest, which now names what the requester holds also to that end. Any majority that could vouch for the version before then has one of them. While they do not answer it serves after 1.5 s, so that the 3 s hold; until then the request, or the Hello of a new connection, which names the version too, has been sent to a frozen peer, which reads it when it resumes and then does not vouch for version 1. A VM in that case is not ready until the store or an informed peer is back. Messages get fields at their end; a peer of an older version confirms nothing, so that each change takes 1.5 s beside a data centre of them. The status and the metric show the version in force, heartbeats the newest one.

What a change costs at 55 VMs in a data centre was not measured.

TestStartWithStoreDown waits until version 2 is in force before it takes VMs away, since the stand-in's map is read meanwhile; its checks are the same. The round trips of Hello and ConfigReply have the new fields.

--- a/pkg/configsync/apply.go
+++ b/pkg/configsync/apply.go
@@ -73,9 +73,9 @@
 			return true, nil, err
 		}
 	}
-	// The installed document is at least as new as the row. It is newer only if the table service was restored from a
+	// The newest document known is at least as new as the row. It is newer only if the table service was restored from a
 	// backup.
-	newest := a.sync.Installed()
+	newest := a.sync.newest()
 	switch determineOutcome(newest, a.baseVersion, a.doc.OperationID, a.sync.operationOf) {
 	case outcomeApplied:
 		return true, a.acceptedDocument(newest), nil
--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -90,9 +90,9 @@
 	Peers      Peers
 	Membership Membership
 	Log        logrus.FieldLogger
-	OnInstall  func(*clusterconfig.Document) // called with each installed document, in the order of versions; may be nil
+	OnInstall  func(*clusterconfig.Document) // called with each document that comes into force here, in the order of versions; may be nil
 	OnAnswer   func()                        // called when the table service answers for the first time; must not block; may be nil
-	Announce   func()                        // sends heartbeats at once; called after each installation; may be nil
+	Announce   func()                        // sends heartbeats at once; called with each newer version; may be nil
 }
 
 // Sync holds the configuration in force on this daemon. It is safe for concurrent use.
@@ -106,13 +106,14 @@
 	wg       sync.WaitGroup
 	offers   *ring.Ring[offer] // put by ObserveAnnouncement, taken by fetchOffers
 
-	installMu sync.Mutex // held while a document is installed, so that OnInstall is called in the order of versions
+	installMu sync.Mutex // held while a document comes into force, so that OnInstall is called in the order of versions
 
-	refusedRowLogLimit, differingContentLogLimit loglimit.Limiter
+	refusedRowLogLimit, differingContentLogLimit, unconfirmedLogLimit loglimit.Limiter
 
-	mu   sync.Mutex
-	copy LocalConfig
-	// highestAnnounced is the highest version that a peer has announced in a heartbeat.
+	mu      sync.Mutex
+	copy    LocalConfig             // the newest version known; given to peers
+	inForce *clusterconfig.Document // the version by which callers are served; nil for none; see hold
+	// highestAnnounced is the highest version that a peer has named in a heartbeat, a handshake or a request.
 	highestAnnounced uint64
 	lastRead         time.Time // start of the latest successful read of the row
 	ready            bool      // the copy is known not to be older than a version that was in force; see Ready
@@ -149,14 +150,23 @@
 
 // Stop ends the reading of the configuration. The installed one stays available.
 func (s *Sync) Stop(context.Context) error {
+	s.mu.Lock()
 	s.cancel()
+	s.mu.Unlock()
 	s.offers.Close()
 	s.wg.Wait()
 	return nil
 }
 
-// Installed returns the installed configuration, or nil if there is none. Callers must not change it.
+// Installed returns the configuration in force here, or nil if there is none. Callers must not change it.
 func (s *Sync) Installed() *clusterconfig.Document {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inForce
+}
+
+// newest returns the newest configuration known, which may not be in force here yet, or nil if there is none.
+func (s *Sync) newest() *clusterconfig.Document {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.copy.Document()
@@ -167,7 +177,7 @@
 func (s *Sync) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ready && s.copy.Document() != nil
+	return s.ready && s.inForce != nil
 }
 
 // Changed returns a channel that is closed when the configuration or readiness changes next.
@@ -177,8 +187,8 @@
 	return s.changed
 }
 
-// State returns the version and hash to report in heartbeats. They are 0 until the daemon is ready, since before that its
-// configuration may be older than the one in force.
+// State returns the version and hash to report in heartbeats, which may not be in force here yet. They are 0 until the daemon
+// is ready, since before that its configuration may be older than the one in force.
 func (s *Sync) State() (version uint64, hash uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -195,7 +205,8 @@
 	return s.storeReads
 }
 
-// installIfNewer parses the stored form of a document and installs the document if it is newer than the installed one.
+// installIfNewer parses the stored form of a document and keeps the document if it is newer than the newest one known. The
+// document comes into force at once, or after hold if it replaces one by which callers may be served.
 func (s *Sync) installIfNewer(raw []byte) error {
 	doc, err := clusterconfig.Parse(raw)
 	if err != nil {
@@ -205,20 +216,20 @@
 	defer s.installMu.Unlock()
 	s.mu.Lock()
 	installed, err := s.copy.Install(doc, raw)
-	if installed {
-		s.notifyChanged()
-	}
+	replaces := s.ready && s.inForce != nil
 	s.mu.Unlock()
 	if !installed {
 		return err
 	}
-	s.options.Log.WithField("version", doc.Version).Info("configuration installed")
-	if s.options.OnInstall != nil {
-		s.options.OnInstall(doc)
+	if !replaces {
+		s.putInForce(doc)
 	}
 	if s.options.Announce != nil {
 		s.options.Announce()
 	}
+	if replaces {
+		s.hold(doc)
+	}
 	return nil
 }
 
--- a/pkg/configsync/configsync_test.go
+++ b/pkg/configsync/configsync_test.go
@@ -93,6 +93,7 @@
 	vms         []platform.VM
 	syncs       map[string]*Sync
 	unreachable map[string]bool
+	frozen      sync.Map // by name of the VM: channel that is closed when the VM resumes
 }
 
 // fakeVM implements Membership and Peers for one VM of a fleet.
@@ -109,14 +110,25 @@
 	if v.unreachable[vm.Name] {
 		return nil, errkind.New(errkind.PeerUnreachable, "down")
 	}
+	if resumed, ok := v.frozen.Load(vm.Name); ok {
+		select {
+		case <-resumed.(chan struct{}):
+		case <-ctx.Done():
+			go func() { // the request waits in the connection to the VM
+				<-resumed.(chan struct{})
+				_, _ = v.syncs[vm.Name].HandleConfigRequest(background, v.self, body)
+			}()
+			return nil, ctx.Err()
+		}
+	}
 	return v.syncs[vm.Name].HandleConfigRequest(ctx, v.self, body)
 }
 
-// announce delivers a heartbeat of one VM to all VMs that can be reached.
+// announce delivers a heartbeat of one VM to all VMs that can be reached and are not frozen.
 func (f *fleet) announce(from platform.VM) {
 	version, hash := f.syncs[from.Name].State()
 	for name, s := range f.syncs {
-		if name != from.Name && !f.unreachable[name] {
+		if _, frozen := f.frozen.Load(name); name != from.Name && !f.unreachable[name] && !frozen {
 			s.ObserveAnnouncement(from, version, hash)
 		}
 	}
@@ -314,6 +326,7 @@
 	}
 	_, err = f.syncs["vm-02"].Apply(background, document("ana"), first.Version, "op-2")
 	require.NoError(t, err)
+	waitUntil(t, f.syncs["vm-02"], func() bool { return f.syncs["vm-02"].Installed().Version == 2 })
 	f.store.down = true
 	s := f.syncs["vm-05"]
 	f.unreachable["vm-02"] = true
--- a/pkg/configsync/spread.go
+++ b/pkg/configsync/spread.go
@@ -76,7 +76,8 @@
 	return best, ok
 }
 
-// requestConfig requests a peer's configuration and installs it if it is newer. The reply holds the highest version that the
+// requestConfig requests a peer's configuration and installs it if it is newer. It names the newest version known here, which
+// the peer notes. The reply holds the highest version that the
 // peer knows to have been in force, or 0 while the peer is not ready and so cannot vouch for any version. With an uptime it
 // also says whether the peer's copy was read after the start of this daemon.
 func (s *Sync) requestConfig(ctx context.Context, vm platform.VM, uptime time.Duration) (wire.ConfigReply, error) {
@@ -109,11 +110,13 @@
 	if err != nil {
 		return nil, err
 	}
+	s.ObserveVersion(request.Have)
 	var reply wire.ConfigReply
 	reply.Current = request.Uptime > 0 && s.ensureReadWithin(ctx, request.Uptime)
 	s.mu.Lock()
+	reply.Known = max(s.copy.Version(), s.highestAnnounced)
 	if s.ready {
-		reply.Version = max(s.copy.Version(), s.highestAnnounced)
+		reply.Version = reply.Known
 		if s.copy.Version() > request.Have {
 			reply.Document = s.copy.Raw()
 		}
@@ -142,13 +145,7 @@
 // majorityVouches asks all other listed VMs of the data centre, and reports whether more than half of them vouch for a
 // version and none is known that is newer than the installed one.
 func (s *Sync) majorityVouches() bool {
-	self := s.options.Membership.Self()
-	var others []platform.VM
-	for _, vm := range s.options.Membership.Listed() {
-		if vm.DataCentre == self.DataCentre && vm.Name != self.Name {
-			others = append(others, vm)
-		}
-	}
+	others := s.othersInDataCentre()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	vouching, highestVersion := 0, uint64(0)
--- a/pkg/daemon/adminview.go
+++ b/pkg/daemon/adminview.go
@@ -36,10 +36,9 @@
 // Status returns the state of this daemon.
 func (a adminView) Status() admin.Status {
 	self := a.vmView.Self()
-	version, _ := a.configSync.State()
 	s := admin.Status{
 		VM: self.Name, DataCentre: self.DataCentre, Region: self.Region, Version: Version, Started: a.started,
-		Draining: a.vmView.Draining(), ConfigVersion: version, CallerConnections: a.callerConnections(),
+		Draining: a.vmView.Draining(), ConfigVersion: a.configSync.InForce(), CallerConnections: a.callerConnections(),
 	}
 	for _, svc := range a.directory.Services() {
 		for _, m := range svc.Members {
@@ -111,15 +110,15 @@
 // VMs returns all entry VMs as this daemon sees them, itself first.
 func (a adminView) VMs() []admin.VM {
 	self := a.vmView.Self()
-	version, _ := a.configSync.State()
-	out := []admin.VM{vmStatus(self, true, a.vmView.Draining(), version)}
+	out := []admin.VM{vmStatus(self, true, a.vmView.Draining(), a.configSync.InForce())}
 	for _, p := range a.vmView.Peers() {
 		out = append(out, vmStatus(p.VM, p.Live, p.Draining, p.State.ConfigVersion))
 	}
 	return out
 }
 
-// vmStatus returns the entry for vm, with the version of the configuration that it reports.
+// vmStatus returns the entry for vm, with the version of the configuration that it reports. That of a peer may not be in force
+// there yet.
 func vmStatus(vm platform.VM, reachable, draining bool, version uint64) admin.VM {
 	return admin.VM{
 		Name: vm.Name, DataCentre: vm.DataCentre, Region: vm.Region, AdminAddr: vm.AdminAddr, State: vm.State,
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -94,7 +94,7 @@
 	c.collectQueues(gauge, counter)
 	c.collectStartups(gauge, counter)
 	configSync := kernel.MustLookup[*configsync.Sync](c.k, nameConfig)
-	version, _ := configSync.State()
+	version := configSync.InForce()
 	gauge(descConfigVersion, float64(version))
 	counter(descPanics, panics.Confined())
 	counter(descConfigStoreReads, configSync.StoreReads())
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sycamorehub/sycamorehub/pkg/configsync"
 	"github.com/sycamorehub/sycamorehub/pkg/directory"
 	"github.com/sycamorehub/sycamorehub/pkg/group"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
@@ -52,6 +53,19 @@
 				vmView.ConnectionLost(vm)
 			}
 		},
+		ConfigVersion: func() uint64 {
+			configSync, err := kernel.Lookup[*configsync.Sync](k, nameConfig)
+			if err != nil {
+				return 0
+			}
+			version, _ := configSync.State()
+			return version
+		},
+		OnHello: func(configVersion uint64) {
+			if configSync, err := kernel.Lookup[*configsync.Sync](k, nameConfig); err == nil {
+				configSync.ObserveVersion(configVersion)
+			}
+		},
 	}
 	return &peers{Pool: peer.NewPool(options), options: options}, nil
 }
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -66,7 +66,7 @@
 	return c
 }
 
-// establish records the identity of the peer from its Hello and raises the limit on frames.
+// establish records the identity of the peer from its Hello, passes on the version that it names and raises the limit on frames.
 func (c *baseConn) establish(h wire.Hello, o *Options) {
 	c.peer, c.purpose = h.VM, h.Purpose
 	c.traffic = o.Stats.Traffic(TrafficKey{Region: h.VM.Region, Control: h.Purpose == wire.PurposeControl})
@@ -74,6 +74,7 @@
 		c.limiter = o.Limiter
 	}
 	c.reader.SetLimit(wire.MaxFrame)
+	o.OnHello(h.ConfigVersion)
 }
 
 // nextFrame reads one frame, records the time and counts the traffic.
@@ -162,7 +163,7 @@
 
 // ownHello returns the Hello that this daemon sends.
 func ownHello(o *Options, purpose wire.Purpose) wire.Hello {
-	return wire.Hello{VM: o.Self, Cluster: o.Cluster, Instance: o.instance, Purpose: purpose}
+	return wire.Hello{VM: o.Self, Cluster: o.Cluster, Instance: o.instance, Purpose: purpose, ConfigVersion: o.ConfigVersion()}
 }
 
 // dialConn connects to vm and performs the handshake within the dial timeout.
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -67,6 +67,11 @@
 	// OnConnectionLost is called when an established control connection breaks, so that membership checks the VM at once. It
 	// must not block. Connections that this daemon closed itself are not reported.
 	OnConnectionLost func(vm platform.VM)
+	// ConfigVersion returns the version of the configuration that a Hello names; nil: 0. A peer that is frozen finds the Hello
+	// when it resumes, also if this daemon has given the connection up or has ended.
+	ConfigVersion func() uint64
+	// OnHello is called with the version of the configuration that a peer's Hello names. It must not block; nil: nothing.
+	OnHello func(configVersion uint64)
 
 	instance uint64 // identifies one run of a daemon to its peers
 }
@@ -99,6 +104,12 @@
 	if o.OnConnectionLost == nil {
 		o.OnConnectionLost = func(platform.VM) {}
 	}
+	if o.ConfigVersion == nil {
+		o.ConfigVersion = func() uint64 { return 0 }
+	}
+	if o.OnHello == nil {
+		o.OnHello = func(uint64) {}
+	}
 	o.instance = rand.Uint64()
 	return o
 }
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -311,6 +311,28 @@
 	require.True(t, errkind.Is(res.Err, errkind.Cancelled))
 }
 
+// A peer that is frozen while a VM dials it must find the version of the configuration that the Hello names when it resumes,
+// although the VM has given up and ended: it may be the only trace of that version.
+func TestFrozenPeerFindsVersionInHello(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	owner := vm("owner", ln.Addr().String())
+	pool := NewPool(Options{Self: vm("proxy", ""), Cluster: "test", DialTimeout: 50 * time.Millisecond, ConfigVersion: func() uint64 { return 7 }})
+	require.Error(t, pool.Probe(within(t, waitLimit), owner))
+	pool.Close()
+
+	versions := make(chan uint64, 1)
+	s := NewServer(Options{Self: owner, Cluster: "test", Executor: newExecutor(echo), OnHello: func(version uint64) { versions <- version }})
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(s.Close)
+	select {
+	case version := <-versions:
+		require.EqualValues(t, 7, version)
+	case <-time.After(waitLimit):
+		t.Fatal("the Hello was not read")
+	}
+}
+
 // There must be no connection to a VM of another cluster, or to another VM that has taken over an address.
 func TestHandshakeRefuses(t *testing.T) {
 	owner, _, _ := serve(t, newExecutor(echo))
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -118,7 +118,7 @@
 	return h, d.end()
 }
 
-// ConfigRequest asks a peer for the configuration if the peer has a version above Have.
+// ConfigRequest asks a peer for the configuration if the peer has a version above Have, and tells it that Have exists.
 type ConfigRequest struct {
 	Have uint64
 	// Uptime is the time since the requester's start. If it is not 0, the peer says whether its copy was read after that start.
@@ -151,19 +151,22 @@
 // may be older than Version, and is empty when it isn't newer than the requester's.
 //
 // Current says that the peer has read Version from the table service after the requester's start. The requester may therefore
-// use it, since it cannot have served a later one before its start.
+// use it, since it cannot have served a later one before its start. Known is the highest version that the peer has heard of,
+// Have of the request included, also while it vouches for none. A peer of an older version leaves it 0.
 type ConfigReply struct {
 	Version  uint64
 	Document []byte
 	Current  bool
+	Known    uint64
 }
 
 // ConfigReplyBody returns the encoded message in a slice of its own.
 func (e *Encoder) ConfigReplyBody(c ConfigReply) ([]byte, error) {
-	e.beginBody(3)
+	e.beginBody(4)
 	e.uint(c.Version)
 	e.bytes(c.Document)
 	e.boolean(c.Current)
+	e.uint(c.Known)
 	return bytes.Clone(e.buf.Bytes()), e.err
 }
 
@@ -174,6 +177,9 @@
 	if d.r.Len() > 0 {
 		c.Current = d.uint() != 0
 	}
+	if d.r.Len() > 0 {
+		c.Known = d.uint()
+	}
 	return c, d.end()
 }
 
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -19,12 +19,14 @@
 	PurposeControl
 )
 
-// Hello is the first frame in both directions. Instance identifies one run of the sending daemon.
+// Hello is the first frame in both directions. Instance identifies one run of the sending daemon. ConfigVersion is the newest
+// version of the configuration that the sender vouches for, 0 for none.
 type Hello struct {
-	VM       platform.VM
-	Cluster  string
-	Instance uint64
-	Purpose  Purpose
+	VM            platform.VM
+	Cluster       string
+	Instance      uint64
+	Purpose       Purpose
+	ConfigVersion uint64
 }
 
 const (
@@ -50,11 +52,12 @@
 
 // Hello builds a frame of TypeHello.
 func (e *Encoder) Hello(h Hello) ([]byte, error) {
-	e.begin(TypeHello, helloFields)
+	e.begin(TypeHello, helloFields+1)
 	e.vm(h.VM)
 	e.str(h.Cluster)
 	e.uint(h.Instance)
 	e.uint(uint64(h.Purpose))
+	e.uint(h.ConfigVersion)
 	return e.end(0)
 }
 
@@ -62,6 +65,9 @@
 func (d *Decoder) Hello(body []byte) (Hello, error) {
 	d.begin(body, helloFields)
 	h := Hello{VM: d.vm(), Cluster: d.str(), Instance: d.uint(), Purpose: Purpose(d.uint())}
+	if d.r.Len() > 0 {
+		h.ConfigVersion = d.uint()
+	}
 	return h, d.end()
 }
 
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -37,7 +37,7 @@
 		head = bytes.Clone(head)
 		return func(payload []byte) { out = append(out, append(head, payload...)) }
 	}
-	add(e.Hello(Hello{VM: sampleVM, Cluster: "c", Instance: 9, Purpose: PurposeControl}))(nil)
+	add(e.Hello(Hello{VM: sampleVM, Cluster: "c", Instance: 9, Purpose: PurposeControl, ConfigVersion: 1 << 31}))(nil)
 	add(e.Refuse(errkind.New(errkind.Draining, "leaving")))(nil)
 	add(e.Empty(TypePing))(nil)
 	head, payload, err := e.Execute(sampleExecute())
@@ -81,7 +81,7 @@
 	}
 	h, err := d.Hello(next(TypeHello))
 	require.NoError(t, err)
-	require.Equal(t, Hello{VM: sampleVM, Cluster: "c", Instance: 9, Purpose: PurposeControl}, h)
+	require.Equal(t, Hello{VM: sampleVM, Cluster: "c", Instance: 9, Purpose: PurposeControl, ConfigVersion: 1 << 31}, h)
 	require.True(t, errkind.Is(d.Refuse(next(TypeRefuse)), errkind.Draining))
 	require.Len(t, next(TypePing), 1)
 	x, err := d.Execute(next(TypeExecute))
@@ -132,10 +132,10 @@
 		require.NoError(t, err)
 		require.Equal(t, want, got)
 	}
-	body, _ := e.ConfigReplyBody(ConfigReply{Version: 3, Document: []byte("{}")})
+	body, _ := e.ConfigReplyBody(ConfigReply{Version: 3, Document: []byte("{}"), Known: 4})
 	c, err := d.ConfigReply(body)
 	require.NoError(t, err)
-	require.Equal(t, ConfigReply{Version: 3, Document: []byte("{}")}, c)
+	require.Equal(t, ConfigReply{Version: 3, Document: []byte("{}"), Known: 4}, c)
 	for _, want := range []ViewRequest{{Service: "s"}, {Service: "s", Relay: true}, {Service: "s", Relay: true, Seen: 1 << 31},
 		{Service: "s", Have: 1 << 31}} {
 		body, _ = e.ViewRequestBody(want)
