configsync: VMs read at once when the store turns their readers away

Cause: at the start a VM waits 1.2 to 2.4 s for the readers of its data centre before it reads the configuration. Readers that the store turns away cannot help it, but do not say so.

Change: a reader whose read the store has refused since the requester's start says so in its ConfigReply (a field at the end). A VM reads at once, and once before its time, when all readers of its data centre say so. A read that timed out, or that was refused with 429, does not count: there more reads would add to the load. If the store refuses all VMs this costs one read per VM and start.

Test, which failed with the signal left out: TestOthersReadAtOnceWhenReadersAreTurnedAway ("2.039879608s" is not less than or equal to "500ms" where the reads are refused, "2.344824407s" where connections are reset); its cases for 429, time-outs and one reader that can read pass before and after. TestReadsWhileTableServiceTurnsAllAway bounds the reads while the store is down. TestReaderVouchesOnlyForLaterReads calls askReader in place of isCurrentAt, which it replaces; its checks are the same.

Run after it: pkg/configsync with -race, the tests of starts 10 times, TestConfig*, TestStart* and TestStoreRateAfterOutage of test/fault once: all pass.

--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -105,6 +105,7 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	offers   *ring.Ring[offer] // put by ObserveAnnouncement, taken by fetchOffers
+	readSelf ring.Signal       // raised when this VM need not wait for the readers at its start
 
 	installMu sync.Mutex // held while a document comes into force, so that OnInstall is called in the order of versions
 
@@ -116,6 +117,7 @@
 	// highestAnnounced is the highest version that a peer has named in a heartbeat, a handshake or a request.
 	highestAnnounced uint64
 	lastRead         time.Time // start of the latest successful read of the row
+	lastTurnedAway   time.Time // start of the latest read that the table service refused
 	ready            bool      // the copy is known not to be older than a version that was in force; see Ready
 	changed          chan struct{}
 	storeReads       uint64
@@ -129,7 +131,8 @@
 
 // New returns a Sync without a configuration.
 func New(o Options) *Sync {
-	s := &Sync{options: o, offers: ring.New[offer]("config-offers", offerCapacity, ring.DropOldest, 0), changed: make(chan struct{}), started: time.Now()}
+	s := &Sync{options: o, offers: ring.New[offer]("config-offers", offerCapacity, ring.DropOldest, 0), readSelf: ring.NewSignal(),
+		changed: make(chan struct{}), started: time.Now()}
 	s.watcher, _ = o.Store.(Watcher)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -262,7 +265,7 @@
 	startInterval := readerStartInterval
 	if !s.options.Membership.IsReader() {
 		startInterval = otherStartInterval
-		if !sleep(s.ctx, startInterval/2+rand.N(startInterval/2)) {
+		if !s.awaitReaders(startInterval/2 + rand.N(startInterval/2)) {
 			return
 		}
 	}
@@ -327,6 +330,7 @@
 	start := time.Now()
 	row, err := s.readRow(ctx, watch)
 	if err != nil {
+		s.noteFailedRead(start, err)
 		return err
 	}
 	if row.Value != nil {
--- a/pkg/configsync/spread.go
+++ b/pkg/configsync/spread.go
@@ -113,6 +113,7 @@
 	s.ObserveVersion(request.Have)
 	var reply wire.ConfigReply
 	reply.Current = request.Uptime > 0 && s.ensureReadWithin(ctx, request.Uptime)
+	reply.TurnedAway = request.Uptime > 0 && !reply.Current && s.wasTurnedAwayWithin(request.Uptime)
 	s.mu.Lock()
 	reply.Known = max(s.copy.Version(), s.highestAnnounced)
 	if s.ready {
--- a/pkg/configsync/start.go
+++ b/pkg/configsync/start.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/ownership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
 // At the start of a fleet the readers of each data centre read the row, and the other VMs ask them. A reader answers with a
-// copy that it has read after the requester's start, so that the requester needs no read of its own to be ready.
+// copy that it has read after the requester's start, so that the requester needs no read of its own to be ready. If the table
+// service turns all readers away, it may serve the others, which then read at once.
 
 // awaitList waits until this VM knows other VMs from the platform's list, for listWait at most.
 func (s *Sync) awaitList() {
@@ -35,29 +38,93 @@
 	s.awaitList()
 	self := s.options.Membership.Self()
 	for !s.isReady() {
-		for _, vm := range s.startReaders() {
-			if vm.Name != self.Name && !s.isReady() && s.isCurrentAt(vm) {
+		readers, turnedAway := s.startReaders(), 0
+		for _, vm := range readers {
+			if vm.Name == self.Name || s.isReady() {
+				continue
+			}
+			switch s.askReader(vm) {
+			case readerCurrent:
 				s.setReady()
+			case readerTurnedAway:
+				turnedAway++
 			}
 		}
+		if turnedAway > 0 && turnedAway == len(readers) {
+			s.readSelf.Raise()
+		}
 		if !sleep(s.ctx, askReadersInterval/2+rand.N(askReadersInterval)) {
 			return
 		}
 	}
 }
 
-// isCurrentAt requests the configuration of vm, and reports whether this daemon now holds one that vm has read after the start
-// of this daemon.
-func (s *Sync) isCurrentAt(vm platform.VM) bool {
-	reply, err := s.requestConfig(s.ctx, vm, time.Since(s.started))
-	if err != nil || !reply.Current {
+// awaitReaders waits for d, and returns sooner if the table service turns the readers away. It returns false when s stops.
+func (s *Sync) awaitReaders(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.ctx.Done():
 		return false
+	case <-t.C:
+	case <-s.readSelf:
+	}
+	return true
+}
+
+// readerAnswer is what a reader says to a VM that starts.
+type readerAnswer uint8
+
+const (
+	readerSilent     readerAnswer = iota // no answer, or its read has not ended or timed out
+	readerCurrent                        // this daemon now holds a version that the reader has read after this daemon's start
+	readerTurnedAway                     // the table service refuses the reader's reads
+)
+
+// askReader requests the configuration of vm.
+func (s *Sync) askReader(vm platform.VM) readerAnswer {
+	reply, err := s.requestConfig(s.ctx, vm, time.Since(s.started))
+	switch {
+	case err != nil:
+		return readerSilent
+	case reply.TurnedAway:
+		return readerTurnedAway
+	case reply.Current && s.holdsNewestOf(reply):
+		return readerCurrent
 	}
+	return readerSilent
+}
+
+// holdsNewestOf reports whether no later version than the one held here is known, to this daemon or to the sender of reply.
+func (s *Sync) holdsNewestOf(reply wire.ConfigReply) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return max(reply.Version, s.highestAnnounced) <= s.copy.Version()
 }
 
+// noteFailedRead records that the table service refused a read that began at start, if err says so. A read that timed out or
+// was one too many tells nothing about other VMs' reads, but that they would add to the load.
+func (s *Sync) noteFailedRead(start time.Time, err error) {
+	refused := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown)
+	var timeout interface{ Timeout() bool }
+	if !refused || errors.Is(err, platform.ErrRateLimited) || errors.As(err, &timeout) && timeout.Timeout() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if start.After(s.lastTurnedAway) {
+		s.lastTurnedAway = start
+	}
+}
+
+// wasTurnedAwayWithin reports whether the table service has refused a read that started no longer than age ago, and has
+// answered none since.
+func (s *Sync) wasTurnedAwayWithin(age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastTurnedAway.After(s.lastRead) && time.Since(s.lastTurnedAway) < age
+}
+
 // readOnDemand makes requests share one read of the row.
 type readOnDemand struct {
 	mu         sync.Mutex // held during the read
--- a/pkg/configsync/start_test.go
+++ b/pkg/configsync/start_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -81,17 +82,90 @@
 	restarted.started = time.Now()
 	f.store.locked(func() { f.store.down = true })
 	time.Sleep(2 * time.Millisecond)
-	require.False(t, restarted.isCurrentAt(vms[0]), "the reader cannot read now")
+	require.NotEqual(t, readerCurrent, restarted.askReader(vms[0]), "the reader cannot read now")
 	require.EqualValues(t, 1, restarted.copy.Version(), "the document itself is taken")
 
 	f.store.locked(func() { f.store.down = false })
 	time.Sleep(failedReadPause)
-	require.True(t, restarted.isCurrentAt(vms[0]))
+	require.Equal(t, readerCurrent, restarted.askReader(vms[0]))
 	var reads int
 	f.store.locked(func() { reads = f.store.reads })
-	require.True(t, restarted.isCurrentAt(vms[0]))
+	require.Equal(t, readerCurrent, restarted.askReader(vms[0]))
 	f.store.locked(func() { require.Equal(t, reads, f.store.reads, "one read serves all that have started before it") })
 
 	restarted.highestAnnounced = 9
-	require.False(t, restarted.isCurrentAt(vms[0]), "a later version is known to exist")
+	require.NotEqual(t, readerCurrent, restarted.askReader(vms[0]), "a later version is known to exist")
+}
+
+// failingStore is the table service as a VM sees it whose reads fail.
+type failingStore struct {
+	*store
+	err error
+}
+
+func (s failingStore) Get(context.Context, string) (platform.Row, error) {
+	return platform.Row{}, s.err
+}
+
+// When the table service turned the readers of a data centre away, its other VMs waited for them although they could read. They
+// must go on waiting where the readers' reads time out or are too many: more reads would make that worse.
+func TestOthersReadAtOnceWhenReadersAreTurnedAway(t *testing.T) {
+	unavailable := fmt.Errorf("%w: HTTP status 503", platform.ErrUnavailable)
+	for name, c := range map[string]struct {
+		err       error
+		firstOnly bool // only one of the two readers fails
+		min, max  time.Duration
+	}{
+		"refused":            {err: unavailable, max: 500 * time.Millisecond},
+		"connection reset":   {err: fmt.Errorf("%w: reset", platform.ErrOutcomeUnknown), max: 500 * time.Millisecond},
+		"too many requests":  {err: fmt.Errorf("%w: %w", platform.ErrUnavailable, platform.ErrRateLimited), min: otherStartInterval / 2, max: otherStartInterval},
+		"timed out":          {err: fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, context.DeadlineExceeded), min: otherStartInterval / 2, max: otherStartInterval},
+		"one reader refused": {err: unavailable, firstOnly: true, max: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 8)
+				_, err := f.syncs["vm-00"].Apply(background, document("ana"), 0, "op-1")
+				require.NoError(t, err)
+				f.store.locked(func() { f.store.reads = 0 })
+				var others []*Sync
+				failing := 0
+				for _, vm := range f.vms {
+					s := f.restart(vm.Name)
+					switch {
+					case !s.options.Membership.IsReader():
+						others = append(others, s)
+					case failing == 0 || !c.firstOnly:
+						failing++
+						s.options.Store = failingStore{f.store, c.err}
+					}
+				}
+				f.start(t)
+				start := time.Now()
+				for _, s := range others {
+					waitUntil(t, s, s.Ready)
+					require.GreaterOrEqual(t, time.Since(start), c.min)
+				}
+				require.LessOrEqual(t, time.Since(start), c.max)
+				if c.firstOnly {
+					f.store.locked(func() { require.LessOrEqual(t, f.store.reads, 2, "the other reader reads for all") })
+				}
+			})
+		})
+	}
+}
+
+// A table service that is down refuses the readers, too. Each other VM may then read once before its time, not again and again.
+func TestReadsWhileTableServiceTurnsAllAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 60
+		f := newFleet(t, vms)
+		f.store.locked(func() { f.store.down = true })
+		f.start(t)
+		time.Sleep(otherStartInterval / 2)
+		f.store.locked(func() {
+			// The readers read at intervals of at least half of readerStartInterval, and on demand every failedReadPause.
+			require.LessOrEqual(t, f.store.reads, vms-2+2*int(otherStartInterval/readerStartInterval+otherStartInterval/2/failedReadPause+1))
+		})
+	})
 }
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -153,20 +153,25 @@
 // Current says that the peer has read Version from the table service after the requester's start. The requester may therefore
 // use it, since it cannot have served a later one before its start. Known is the highest version that the peer has heard of,
 // Have of the request included, also while it vouches for none. A peer of an older version leaves it 0.
+//
+// TurnedAway says that the table service has refused the peer's read after the requester's start. It may serve others.
 type ConfigReply struct {
 	Version  uint64
 	Document []byte
 	Current  bool
 	Known    uint64
+
+	TurnedAway bool
 }
 
 // ConfigReplyBody returns the encoded message in a slice of its own.
 func (e *Encoder) ConfigReplyBody(c ConfigReply) ([]byte, error) {
-	e.beginBody(4)
+	e.beginBody(5)
 	e.uint(c.Version)
 	e.bytes(c.Document)
 	e.boolean(c.Current)
 	e.uint(c.Known)
+	e.boolean(c.TurnedAway)
 	return bytes.Clone(e.buf.Bytes()), e.err
 }
 
@@ -180,6 +185,9 @@
 	if d.r.Len() > 0 {
 		c.Known = d.uint()
 	}
+	if d.r.Len() > 0 {
+		c.TurnedAway = d.uint() != 0
+	}
 	return c, d.end()
 }
 
