pkg/frontend: a request that crosses with the end of its session gets the reason, not a reset

Callers saw: a large request sent at the moment at which a stopping VM closed their session failed with "write failed: broken pipe". Whether it ran is then unknown to them, although it was refused.

Cause: the front end sent the FATAL error and closed the connection at once, with the rest of the request unread. The close resets the connection, and a driver that is still writing fails before it reads the error. The reset may also overtake an error that the network has lost.

A session that was told why it ends now closes only its sending half and drops what arrives until the caller closes, at most 1 s. Draining waits for it and does not cut that time short. The same holds after a violation of the protocol.

--- a/pkg/frontend/reader.go
+++ b/pkg/frontend/reader.go
@@ -195,15 +195,16 @@
 	return c.flushOutput(time.Time{})
 }
 
-// reportReadError tells the caller why the session ends after a failed read, unless the connection itself failed.
-func (c *session) reportReadError(err error) {
+// readFailure returns what the caller is told after a failed read, or nil if the connection itself failed.
+func (c *session) readFailure(err error) error {
 	var kindErr *errkind.Error
 	switch {
 	case c.closeRequested.Load() && errors.Is(err, os.ErrDeadlineExceeded):
-		c.sendFatal(c.drainError())
+		return c.drainError()
 	case errors.As(err, &kindErr):
-		c.sendFatal(err)
+		return err
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.sendFatal(errkind.New(errkind.ProtocolViolation, "unit of work is incomplete: no more of it arrived within %s", unitReadTimeout))
+		return errkind.New(errkind.ProtocolViolation, "unit of work is incomplete: no more of it arrived within %s", unitReadTimeout)
 	}
+	return nil
 }
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -160,7 +160,9 @@
 		return
 	}
 	defer s.unregister(c)
-	c.serve()
+	if c.serve() {
+		c.awaitClose()
+	}
 }
 
 // Drain refuses new callers with SQLSTATE 57P01 and closes each session after its current unit or transaction, idle
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -52,19 +52,34 @@
 	mu             sync.Mutex
 	cancelRunning  context.CancelFunc // guarded by mu; cancels the unit in progress; nil if there is none
 	inTx           bool               // guarded by mu; inTransaction after the last unit, for closeIfIdle
+	leaving        bool               // guarded by mu; the caller is told that its session ends
 }
 
-// serve runs units until the caller leaves or the server drains.
-func (c *session) serve() {
+// serve runs units until the caller leaves or the server drains. It reports whether the caller was told why its session
+// ends.
+func (c *session) serve() (told bool) {
 	defer c.cleanUp()
+	reason := c.serveUnits()
+	if reason == nil {
+		return false
+	}
+	c.mu.Lock()
+	c.leaving = true
+	c.mu.Unlock()
+	c.sendFatal(reason)
+	return true
+}
+
+// serveUnits is serve without the end of the session. It returns what the caller is to be told, or nil if the caller left
+// or its connection failed.
+func (c *session) serveUnits() (reason error) {
 	for {
 		end, err := c.readUnit()
 		if err != nil {
-			c.reportReadError(err)
-			return
+			return c.readFailure(err)
 		}
 		if end || !c.runUnit() {
-			return
+			return nil
 		}
 		c.workspace.reset()
 		if c.workspace.pending() == 0 {
@@ -72,7 +87,25 @@
 			c.workspace = nil
 		}
 		if c.server.draining.Load() && !c.inTransaction() {
-			c.sendFatal(c.drainError())
+			return c.drainError()
+		}
+	}
+}
+
+// leaveTimeout is how long a caller has to close its connection after it was told that its session ends.
+const leaveTimeout = time.Second
+
+// awaitClose drops what the caller has sent before it learnt that its session ends, until the caller closes the connection
+// or leaveTimeout has passed. Closing the connection with bytes unread would reset it, and a caller that is still writing
+// would fail before it reads the reason.
+func (c *session) awaitClose() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(leaveTimeout))
+	var dropped [1 << 10]byte
+	for {
+		if _, err := c.conn.Read(dropped[:]); err != nil {
 			return
 		}
 	}
@@ -113,7 +146,7 @@
 	if c.cancelRunning != nil {
 		return true
 	}
-	if c.inTx && !includeTx {
+	if c.leaving || c.inTx && !includeTx {
 		return false
 	}
 	c.closeRequested.Store(true)
