pkg/frontend: requests that outlast a drain are answered before it ends

Callers saw: a request that was still in progress when limits.drain had passed got no answer: the process ended and took the connection with it.

Cause: Drain left units in progress alone and returned an error, after which the daemon closes everything.

0.5 s before its end, a drain now cancels the units in progress and ends idle transactions. The error says what is known: not run, or that the outcome is unknown, not that the caller has cancelled. A session that still lingers at the end no longer delays the daemon. Drain and what belongs to it move to a file of their own.

Evidence: TestRequestInProgressAtTheEndOfADrain, before: "units of work of callers are still in progress: context deadline exceeded", with no answer at the caller.

--- /dev/null
+++ b/pkg/frontend/drain.go
@@ -0,0 +1,130 @@
+package frontend
+
+import (
+	"context"
+	"time"
+
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
+)
+
+const (
+	// answerReserve is the time before the end of a drain at which units in progress are cancelled, so that their callers
+	// are still told what is known of the outcome.
+	answerReserve = 500 * time.Millisecond
+	// answerReserveDivisor bounds answerReserve to a part of a short drain.
+	answerReserveDivisor = 3
+)
+
+// Drain refuses new callers with SQLSTATE 57P01 and closes each session after its current unit or transaction, idle
+// ones after the grace period. answerReserve before ctx ends, or when ctx ends without a deadline, idle transactions are
+// rolled back and units in progress are cancelled. It returns nil once no session is left, and an error if units are
+// still in progress shortly after the end of ctx.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining.Store(true)
+	s.mu.Unlock()
+	defer s.closeOnce.Do(func() {
+		s.closeListeners()
+		s.runners.close()
+	})
+	grace := time.NewTimer(s.options.DrainGrace)
+	defer grace.Stop()
+	retry := time.NewTicker(callerCheckInterval)
+	defer retry.Stop()
+	ctxDone, reserveBegins, ending := ctx.Done(), untilAnswerReserve(ctx), false
+	var giveUp <-chan time.Time
+	for {
+		s.mu.Lock()
+		n, changed := len(s.sessions), s.sessionEnded
+		s.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+			continue
+		case <-grace.C:
+			s.closeIdle(false)
+			continue
+		case <-reserveBegins:
+			ending = true
+		case <-ctxDone:
+			ctxDone, ending = nil, true
+			giveUp = time.After(callerCheckInterval)
+		case <-retry.C:
+		case <-giveUp:
+			if s.closeIdle(true) > 0 {
+				return errkind.Wrap(errkind.Draining, ctx.Err(), "units of work of callers are still in progress")
+			}
+			return nil
+		}
+		if ending {
+			s.closeIdle(true)
+			s.cancelUnits()
+		}
+	}
+}
+
+// untilAnswerReserve returns a channel that receives when the answer reserve of a drain that begins now begins. It is nil if
+// ctx has no deadline.
+func untilAnswerReserve(ctx context.Context) <-chan time.Time {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	left := time.Until(end)
+	return time.After(left - min(answerReserve, left/answerReserveDivisor))
+}
+
+// closeListeners closes the listeners and ends watchCallers.
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	close(s.drained)
+}
+
+// closeIdle makes idle sessions close, with includeTx also those that are idle in a transaction. It returns the
+// number of sessions that run a unit.
+func (s *Server) closeIdle(includeTx bool) (busy int) {
+	for _, c := range s.allSessions() {
+		if c.closeIfIdle(includeTx) {
+			busy++
+		}
+	}
+	return busy
+}
+
+// cancelUnits cancels the units in progress of all sessions.
+func (s *Server) cancelUnits() {
+	for _, c := range s.allSessions() {
+		c.cancelledByDrain.Store(true)
+		c.cancelUnit()
+	}
+}
+
+func (s *Server) allSessions() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*session, 0, len(s.sessions))
+	for _, c := range s.sessions {
+		all = append(all, c)
+	}
+	return all
+}
+
+// errorAtDrainEnd returns the error of a unit that was cancelled at the end of a drain. Its kind says what is known of the
+// unit's outcome, in place of the kind for a request that its caller has cancelled.
+func (c *session) errorAtDrainEnd(u *unit.Unit, res unit.Result) error {
+	kind := errkind.ReadFailed
+	switch {
+	case res.Outcome == errkind.OutcomeNotRun:
+		kind = errkind.Draining
+	case u.Write:
+		kind = errkind.RequestOutcomeUnknown
+	}
+	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", c.server.options.VMName)
+}
--- a/pkg/frontend/drain_test.go
+++ b/pkg/frontend/drain_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -80,3 +81,52 @@
 	callers.Wait()
 	require.NoError(t, <-drained)
 }
+
+// cancellableUnits ends each unit with an unknown outcome, half a minute after it began or when it is cancelled.
+type cancellableUnits struct{ unit.Executor }
+
+func (cancellableUnits) Execute(ctx context.Context, _ *unit.Unit, _ unit.Sink) unit.Result {
+	select {
+	case <-time.After(30 * time.Second):
+	case <-ctx.Done():
+	}
+	return unit.Failed(errkind.Wrap(errkind.Cancelled, ctx.Err(), "cancelled"))
+}
+
+// A request that is still in progress at the end of a planned stop must be told that its outcome is unknown, before the
+// process ends.
+func TestRequestInProgressAtTheEndOfADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := New(Options{Executor: cancellableUnits{}, Classes: func() ClassTable { return oneClass{} }, Services: anyService{}})
+		conn := connectByPipe(t, server)
+		answer := make(chan error, 1)
+		go func() {
+			_, err := conn.Exec(t.Context(), "INSERT").ReadAll()
+			answer <- err
+			_ = conn.Conn().Close()
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		require.NoError(t, server.Drain(ctx))
+		synctest.Wait()
+		require.Len(t, answer, 1, "the request has no answer when the drain ends")
+		require.Equal(t, errkind.RequestOutcomeUnknown.SQLState, sqlStateOf(<-answer))
+	})
+}
+
+// connectByPipe connects a caller without a network.
+func connectByPipe(t *testing.T, s *Server) *pgconn.PgConn {
+	cfg, err := pgconn.ParseConfig("postgres://caller@vm/db?sslmode=disable")
+	require.NoError(t, err)
+	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	cfg.DialFunc = func(context.Context, string, string) (net.Conn, error) {
+		serverEnd, callerEnd := net.Pipe()
+		s.openConns.Add(1)
+		go s.serveConn(serverEnd)
+		return callerEnd, nil
+	}
+	conn, err := pgconn.ConnectConfig(t.Context(), cfg)
+	require.NoError(t, err)
+	return conn
+}
--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -79,6 +79,9 @@
 	ctx, cancel := c.beginUnit(start, unitTimeout(class.Target))
 	txBefore := c.tx
 	res := c.server.runners.execute(ctx, u, &w.sink)
+	if res.Err != nil && c.cancelledByDrain.Load() && errors.Is(ctx.Err(), context.Canceled) {
+		res.Err = c.errorAtDrainEnd(u, res)
+	}
 	code := observedCode(ctx, res)
 	c.adoptTransaction(u, txBefore, res)
 	c.finishUnit(cancel)
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -164,70 +163,3 @@
 		c.awaitClose()
 	}
 }
-
-// Drain refuses new callers with SQLSTATE 57P01 and closes each session after its current unit or transaction, idle
-// ones after the grace period. When ctx ends, idle transactions are rolled back, while units in progress are not
-// cancelled. It returns nil once no session is left, and an error if units are still in progress shortly after the
-// end of ctx.
-func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining.Store(true)
-	s.mu.Unlock()
-	defer s.closeOnce.Do(func() {
-		s.closeListeners()
-		s.runners.close()
-	})
-	grace := time.NewTimer(s.options.DrainGrace)
-	defer grace.Stop()
-	ctxDone := ctx.Done()
-	var retry <-chan time.Time
-	for {
-		s.mu.Lock()
-		n, changed := len(s.sessions), s.sessionEnded
-		s.mu.Unlock()
-		if n == 0 {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-grace.C:
-			s.closeIdle(false)
-		case <-ctxDone:
-			ctxDone = nil
-			t := time.NewTicker(callerCheckInterval)
-			defer t.Stop()
-			retry = t.C
-		case <-retry:
-			if s.closeIdle(true) > 0 {
-				return errkind.Wrap(errkind.Draining, ctx.Err(), "units of work of callers are still in progress")
-			}
-		}
-	}
-}
-
-// closeListeners closes the listeners and ends watchCallers.
-func (s *Server) closeListeners() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range s.listeners {
-		_ = l.Close()
-	}
-	close(s.drained)
-}
-
-// closeIdle makes idle sessions close, with includeTx also those that are idle in a transaction. It returns the
-// number of sessions that run a unit.
-func (s *Server) closeIdle(includeTx bool) (busy int) {
-	s.mu.Lock()
-	all := make([]*session, 0, len(s.sessions))
-	for _, c := range s.sessions {
-		all = append(all, c)
-	}
-	s.mu.Unlock()
-	for _, c := range all {
-		if c.closeIfIdle(includeTx) {
-			busy++
-		}
-	}
-	return busy
-}
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -49,10 +49,13 @@
 
 	unitStarted    atomic.Int64 // start of the unit in progress in Unix nanoseconds; 0 if there is none
 	closeRequested atomic.Bool  // draining has asked the idle session to close
-	mu             sync.Mutex
-	cancelRunning  context.CancelFunc // guarded by mu; cancels the unit in progress; nil if there is none
-	inTx           bool               // guarded by mu; inTransaction after the last unit, for closeIfIdle
-	leaving        bool               // guarded by mu; the caller is told that its session ends
+	// cancelledByDrain is set before the unit in progress is cancelled at the end of a drain.
+	cancelledByDrain atomic.Bool
+
+	mu            sync.Mutex
+	cancelRunning context.CancelFunc // guarded by mu; cancels the unit in progress; nil if there is none
+	inTx          bool               // guarded by mu; inTransaction after the last unit, for closeIfIdle
+	leaving       bool               // guarded by mu; the caller is told that its session ends
 }
 
 // serve runs units until the caller leaves or the server drains. It reports whether the caller was told why its session
