pkg/peer: a stopping VM refuses units that cross with the end of its peer server

Callers saw: a write forwarded to a VM at the moment at which it closed its peer server ended with an unknown outcome, although it never ran. Such a write may not be repeated.

Cause: Shutdown accepted units until it closed the connections, with those that had just arrived unread or queued, and cancelled the running ones only together with their connection, so that no result reached the sender. It also waited for a WaitGroup to which arriving units were added meanwhile, which sync.WaitGroup forbids while the counter may be zero.

The error of a unit that a stop cancelled says what is known of it; pkg/frontend shares that function.

TestUnitInProgressAtTheEndOfAShutdown failed before with "connection to entry VM owner was lost: EOF". Units that arrive after the connections are closed still end as unknown: the protocol has no message that announces the close.

--- a/pkg/frontend/drain.go
+++ b/pkg/frontend/drain.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
-	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
 const (
@@ -115,16 +114,3 @@
 	}
 	return all
 }
-
-// errorAtDrainEnd returns the error of a unit that was cancelled at the end of a drain. Its kind says what is known of the
-// unit's outcome, in place of the kind for a request that its caller has cancelled.
-func (c *session) errorAtDrainEnd(u *unit.Unit, res unit.Result) error {
-	kind := errkind.ReadFailed
-	switch {
-	case res.Outcome == errkind.OutcomeNotRun:
-		kind = errkind.Draining
-	case u.Write:
-		kind = errkind.RequestOutcomeUnknown
-	}
-	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", c.server.options.VMName)
-}
--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -80,7 +80,7 @@
 	txBefore := c.tx
 	res := c.server.runners.execute(ctx, u, &w.sink)
 	if res.Err != nil && c.cancelledByDrain.Load() && errors.Is(ctx.Err(), context.Canceled) {
-		res.Err = c.errorAtDrainEnd(u, res)
+		res.Err = unit.CancelledByStop(c.server.options.VMName, u, res)
 	}
 	code := observedCode(ctx, res)
 	c.adoptTransaction(u, txBefore, res)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -26,7 +26,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup // connections, and all goroutines that don't run units
-	units  sync.WaitGroup // running units
+	units  sync.WaitGroup // running units; beginUnit adds to it
 
 	workers workerPool
 
@@ -35,6 +35,7 @@
 	peerSessions map[peerSessionKey]*peerSession
 	conns        map[*serverConn]struct{}
 	listener     net.Listener
+	refusing     bool // units are answered as not run
 	closed       bool
 }
 
@@ -108,21 +109,6 @@
 	return true
 }
 
-// Shutdown waits for running units until ctx ends, then closes the server. Meanwhile the daemon itself refuses new units,
-// since it is draining.
-func (s *Server) Shutdown(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		s.units.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-	s.Close()
-}
-
 // Close ends all connections, cancels their units and waits for them.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/pkg/peer/serverconn.go
+++ b/pkg/peer/serverconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
@@ -141,8 +142,11 @@
 		c.server.startGoroutine(func() { r.sendResult(&res) })
 		return nil
 	}
+	if !c.server.beginUnit() {
+		c.refuseUnit(r)
+		return nil
+	}
 	c.server.beginUnitTx(c.session, r.unit.Tx)
-	c.server.units.Add(1)
 	c.server.workers.start(r)
 	return nil
 }
@@ -155,6 +159,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	cancelledByShutdown atomic.Bool
+
 	mu            sync.Mutex
 	credit        int         // bytes that may still be sent
 	creditAdded   ring.Signal // raised after credit was added
@@ -167,6 +173,9 @@
 	c := r.conn
 	defer c.server.units.Done()
 	res := r.runUnit()
+	if res.Err != nil && r.cancelledByShutdown.Load() {
+		res.Err = unit.CancelledByStop(c.server.opts.Self.Name, r.unit, res)
+	}
 	r.cancel()
 	c.server.endUnitTx(c.session, r.unit.Tx, res.Tx)
 	c.mu.Lock()
