pkg/peer: an answer that arrives after the deadline reaches the caller

Callers saw: the connection closed with no answer ("conn closed" in pgx) when a read of more than 16 KB that another VM served was answered shortly after its deadline.

Cause: a forwarded unit waits 0.25 s past its deadline for the answer, but passed it to the sink with the context that had ended. The front end takes its write deadline from that context, so that each write failed at once, and a caller whose answer cannot be written is disconnected.

What arrives after the end of the context now has cancelGrace to be written, as the owner's own writes have.

Evidence: TestAnswerAfterTheDeadlineIsDelivered, before: "context deadline exceeded" from the sink.

--- a/pkg/peer/execute.go
+++ b/pkg/peer/execute.go
@@ -178,9 +178,15 @@
 }
 
 // deliverChunks passes the queued chunks to the sink and returns their credit to the owner. After an error of the sink it
-// discards the remaining ones. res is valid when done is true.
+// discards the remaining ones. Chunks that arrive after the end of ctx still go to the sink, within cancelGrace. res is valid
+// when done is true.
 func (f *forwardedUnit) deliverChunks(ctx context.Context) (res unit.Result, done bool, err error) {
 	f.chunks, res, done = f.call.take(f.chunks)
+	if len(f.chunks) > 0 && ctx.Err() != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), cancelGrace)
+		defer cancel()
+	}
 	for i := range f.chunks {
 		ch := &f.chunks[i]
 		if f.sink != nil && err == nil {
