pkg/frontend: an answer that breaks off within a message ends with an error

Callers saw: the connection closed ("unexpected EOF" in pgx) in the middle of a long read whose member or owner was lost, while an answer that broke off between two messages ended with 40001 and "retry the read".

Cause: the sink sent the beginning of a message as soon as it arrived; the chunks of a forwarded answer end anywhere. Nothing can follow a part of a message, so that the front end closed the connection without a word.

The sink now keeps the beginning of a message until its end arrives, up to the size of its buffer, and drops it if the answer breaks off. Of larger messages parts are still sent, and the connection is closed if one of those breaks off.

Evidence: TestAnswerBreaksOffWithinAMessage, before: no SQLSTATE after 3 of the bytes of an answer. TestAnswerInChunks compares answers of messages up to 100 KB, split in nine ways.

--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -13,7 +13,7 @@
 func (c *session) runUnit() bool {
 	w := c.workspace
 	a := &w.assembly
-	w.sink = callerSink{session: c}
+	w.sink = callerSink{session: c, wholeEnd: len(w.out)}
 	switch {
 	case a.skipToSync:
 		c.failTransaction()
@@ -60,7 +60,7 @@
 }
 
 // executeUnit passes the unit to the executor. It returns false when the answer could not be written, or broke off
-// within a message.
+// within a message of which the caller has a part.
 func (c *session) executeUnit() bool {
 	w := c.workspace
 	class, err := c.fillUnit()
@@ -87,7 +87,7 @@
 	c.finishUnit(cancel)
 	c.server.options.ObserveRequest(class.Name, res.Outcome, code, time.Since(start))
 	c.dropFailedParses(w.sink.namedParseCount(w.assembly.parsesUnnamed))
-	if w.sink.writeFailed || w.sink.inMessage() {
+	if w.sink.writeFailed || res.Err == nil && w.sink.inMessage() || !w.sink.dropPart() {
 		return false
 	}
 	if res.Err != nil {
