pkg/peer: a connection whose dial outlasts its VM's departure is closed

Operators saw: a VM that was stopped shortly after the link to other VMs was lost did not exit by itself: "context deadline exceeded" after limits.drain and limits.close (35 s), exit status 1.

Cause: when a VM counts as gone, Pool.Disconnect forgets its connections, but a dial to it that was in progress put its connection into the forgotten record. Nobody closed that connection, and Pool.Close waits for its reader until the other VM closes it.

Disconnect now invalidates the dials in progress, as a change of the VM's address does, and a forgotten record starts no dials.

TestDialOfDisconnectedVMIsDropped failed before: "the pool waits for a connection that it does not know".

--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -31,10 +31,11 @@
 type vmConns struct {
 	openTxCount atomic.Int64 // transactions open at the VM, as far as the results of units tell
 
-	mu    sync.Mutex
-	vm    platform.VM
-	conns [2]*clientConn
-	dials [2]*pendingDial
+	mu           sync.Mutex
+	vm           platform.VM
+	conns        [2]*clientConn
+	dials        [2]*pendingDial
+	disconnected bool // no longer in the pool, so that no connection may be added
 }
 
 // pendingDial is a dial in progress. Several goroutines can wait for it; conn and err are valid once done is closed.
@@ -80,6 +81,10 @@
 	if vc == nil {
 		return
 	}
+	vc.mu.Lock()
+	vc.disconnected = true
+	vc.dials = [2]*pendingDial{} // connections of dials in progress are closed
+	vc.mu.Unlock()
 	for _, c := range vc.openConns() {
 		c.close(ErrPeerGone)
 	}
@@ -177,6 +182,11 @@
 		return d
 	}
 	d := &pendingDial{done: make(chan struct{})}
+	if vc.disconnected {
+		d.err = ErrPeerGone
+		close(d.done)
+		return d
+	}
 	vc.dials[i] = d
 	vm := vc.vm
 	if !p.startGoroutine(func() { p.dial(vc, vm, purpose, d) }) {
@@ -187,7 +197,8 @@
 	return d
 }
 
-// dial opens a connection for d and makes it the current one unless the address of the VM has changed meanwhile.
+// dial opens a connection for d and makes it the current one unless the address of the VM has changed or the VM has left
+// meanwhile.
 func (p *Pool) dial(vc *vmConns, vm platform.VM, purpose wire.Purpose, d *pendingDial) {
 	i := purposeIndex(purpose)
 	p.opts.Stats.Dials.Add(1)
@@ -206,7 +217,7 @@
 		d.err = err
 		return
 	}
-	if !current { // the VM's address has changed meanwhile
+	if !current { // the VM's address has changed meanwhile, or the VM has left
 		_ = base.nc.Close()
 		d.err = ErrPeerGone
 		return
--- a/pkg/peer/renew_test.go
+++ b/pkg/peer/renew_test.go
@@ -70,3 +70,36 @@
 	require.Same(t, now, later)
 	require.Equal(t, owner.PeerAddr, later.nc.RemoteAddr().String())
 }
+
+// A connection whose dial was in progress when its VM left must be closed. Nobody else would close it, and a stopping VM
+// would wait for its end.
+func TestDialOfDisconnectedVMIsDropped(t *testing.T) {
+	_, proxy, _ := serve(t, newExecutor(echo))
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer held.Close()
+	pool := NewPool(Options{Self: vm("proxy", "127.0.0.1:1"), Cluster: "test"})
+	dialled := make(chan error, 1)
+	go func() {
+		_, err := pool.getConn(within(t, waitLimit), vm("owner", held.Addr().String()), wire.PurposeData)
+		dialled <- err
+	}()
+	in, err := held.Accept()
+	require.NoError(t, err)
+	pool.Disconnect("owner")
+	out, err := net.Dial("tcp", proxy.target)
+	require.NoError(t, err)
+	go pump(in, out, newGate())
+	go pump(out, in, newGate())
+	require.ErrorIs(t, <-dialled, ErrPeerGone)
+	closed := make(chan struct{})
+	go func() {
+		pool.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(waitLimit):
+		t.Fatal("the pool waits for a connection that it does not know")
+	}
+}
