pkg/peer: the rest of a forwarded answer may be written after the deadline

Callers saw: "unexpected EOF" in the middle of a long read that another VM served, if the deadline passed while the answer was being written.

Cause: writes to the sink had the unit's own deadline also when the answer had begun before it. pkg/backend gives all but the first write until a grace after the deadline, so that the member's error or the rest of the rows still arrive; a forwarded answer had no such grace.

All but the first write, and writes after the end of the context, now have until cancelGrace after the deadline. This replaces the grace that was given only to what arrived after the deadline.

Evidence: TestAnswerAfterTheDeadlineIsDelivered/rest, before: "context canceled".

--- a/pkg/peer/execute.go
+++ b/pkg/peer/execute.go
@@ -58,6 +58,7 @@
 		}
 		if err = f.send(ctx); err == nil {
 			defer c.unregister(f.id)
+			defer f.releaseSinkContext()
 			return f.receive(ctx)
 		}
 		c.unregister(f.id)
@@ -94,6 +95,9 @@
 	streamed  bool    // the sink has been given a part of the answer
 	creditDue int     // credit of consumed chunks that has not been returned to the owner
 	chunks    []chunk // reused by deliverChunks
+
+	streamCtx     context.Context // for all but the first write to sink; ends cancelGrace after the unit's deadline
+	stopStreamCtx context.CancelFunc
 }
 
 // send writes the Execute frame. A non-nil error means that the owner can't have received it in full.
@@ -178,20 +182,15 @@
 }
 
 // deliverChunks passes the queued chunks to the sink and returns their credit to the owner. After an error of the sink it
-// discards the remaining ones. Chunks that arrive after the end of ctx still go to the sink, within cancelGrace. res is valid
-// when done is true.
+// discards the remaining ones. res is valid when done is true.
 func (f *forwardedUnit) deliverChunks(ctx context.Context) (res unit.Result, done bool, err error) {
 	f.chunks, res, done = f.call.take(f.chunks)
-	if len(f.chunks) > 0 && ctx.Err() != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), cancelGrace)
-		defer cancel()
-	}
 	for i := range f.chunks {
 		ch := &f.chunks[i]
 		if f.sink != nil && err == nil {
+			sinkCtx := f.sinkContext(ctx)
 			f.streamed = true
-			err = f.sink.Write(ctx, ch.payload)
+			err = f.sink.Write(sinkCtx, ch.payload)
 		}
 		cost := wire.ChunkCost(len(ch.payload))
 		ch.frame.Release()
@@ -208,6 +207,25 @@
 	return res, done, err
 }
 
+// sinkContext returns the context of a write to the sink. The rest of an answer that has begun, and an answer that arrives
+// after the deadline, still go to the caller within cancelGrace. The first write fits into the buffers of every sink.
+func (f *forwardedUnit) sinkContext(ctx context.Context) context.Context {
+	if !f.streamed && ctx.Err() == nil {
+		return ctx
+	}
+	if f.streamCtx == nil {
+		deadline, _ := ctx.Deadline() // Pool.Execute has set one
+		f.streamCtx, f.stopStreamCtx = context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(cancelGrace))
+	}
+	return f.streamCtx
+}
+
+func (f *forwardedUnit) releaseSinkContext() {
+	if f.stopStreamCtx != nil {
+		f.stopStreamCtx()
+	}
+}
+
 // lostResult returns the result of a unit whose connection ended before the owner answered.
 func (f *forwardedUnit) lostResult(cause error) unit.Result {
 	if !f.conn.writer.hasWritten(f.frameEnd) {
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -419,22 +419,33 @@
 	require.True(t, res.Streamed)
 }
 
-// An answer that arrives shortly after the deadline must reach the caller: a sink that fails because its deadline has passed
-// closes the caller's connection without an answer.
+// An answer that arrives shortly after the deadline, or in part, must reach the caller: a sink that fails because its deadline
+// has passed closes the caller's connection without an answer.
 func TestAnswerAfterTheDeadlineIsDelivered(t *testing.T) {
-	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Millisecond))
-	defer cancel()
-	delivered := 0
-	f := &forwardedUnit{conn: &clientConn{window: DefaultWindow}, call: newCall(), sink: sinkFunc(func(ctx context.Context, p []byte) error {
-		delivered += len(p)
-		return ctx.Err()
-	})}
-	f.call.chunks = []chunk{{payload: []byte("RowDescription")}, {payload: []byte("DataRow")}}
-	f.call.done, f.call.result = true, done()
-	res, answered, err := f.deliverChunks(ctx)
-	require.NoError(t, err)
-	require.True(t, answered && res.Streamed)
-	require.Equal(t, len("RowDescriptionDataRow"), delivered)
+	for name, writesInTime := range map[string]int{"whole": 0, "rest": 1} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(within(t, waitLimit))
+			writes := 0
+			endAfter := func(n int) {
+				if n == writesInTime {
+					cancel()
+				}
+			}
+			f := &forwardedUnit{conn: &clientConn{window: DefaultWindow}, call: newCall(), sink: sinkFunc(func(ctx context.Context, _ []byte) error {
+				writes++
+				defer endAfter(writes)
+				return ctx.Err()
+			})}
+			defer f.releaseSinkContext()
+			endAfter(writes)
+			f.call.chunks = []chunk{{payload: []byte("RowDescription")}, {payload: []byte("DataRow")}}
+			f.call.done, f.call.result = true, done()
+			res, answered, err := f.deliverChunks(ctx)
+			require.NoError(t, err)
+			require.True(t, answered && res.Streamed)
+			require.Equal(t, 2, writes)
+		})
+	}
 }
 
 // An unexpected error in one unit or request must end only that one: its outcome is unknown, and the connection goes on.
