daemon: the quiet period before the peer server closes counts from the begin of the drain

Cause: a stopping VM closes its peer server once no unit of another VM has arrived for 1 s, the time in which the others learn that it drains. This second began anew when the drain of its own callers had ended, although the others had been told when it began, so that each stop took 1 s longer than it had to and more VMs were away at once.

--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -82,7 +82,8 @@
 // transactions that they have in progress, within the drain limit.
 func (c *callers) Stop(ctx context.Context) error {
 	c.vmView.SetDraining()
-	c.peerServer.drainDeadline = time.Now().Add(c.drainLimit)
+	c.peerServer.drainStart = time.Now()
+	c.peerServer.drainDeadline = c.peerServer.drainStart.Add(c.drainLimit)
 	ctx, cancel := context.WithDeadline(ctx, c.peerServer.drainDeadline)
 	defer cancel()
 	return c.server.Drain(ctx)
--- a/pkg/daemon/serve.go
+++ b/pkg/daemon/serve.go
@@ -58,7 +58,9 @@
 	// drainDeadline is the time at which idle transactions are rolled back. The front end, which stops first, sets it, so
 	// that the same limit holds for its own callers and for those of other daemons.
 	drainDeadline time.Time
-	closeLimit    time.Duration
+	// drainStart is the time at which other daemons were told that this one takes no new work. The front end sets it.
+	drainStart time.Time
+	closeLimit time.Duration
 }
 
 func newPeerServer(k *kernel.Kernel) (any, error) {
@@ -104,8 +106,7 @@
 // Stop waits until other daemons have no unit or transaction in progress here and send no more, then closes. At
 // drainDeadline it stops waiting and rolls back idle transactions; units in progress get half of the close limit to finish.
 func (p *peerServer) Stop(ctx context.Context) error {
-	start := time.Now()
-	for (p.peerExecutor.InProgress() > 0 || !p.peerExecutor.quietPeriodElapsed(start)) && ctx.Err() == nil && time.Now().Before(p.drainDeadline) {
+	for (p.peerExecutor.InProgress() > 0 || !p.peerExecutor.quietPeriodElapsed(p.drainStart)) && ctx.Err() == nil && time.Now().Before(p.drainDeadline) {
 		time.Sleep(drainPollInterval)
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.drainDeadline.Add(p.closeLimit/2))
