pkg/session: a caller that stays connected does not fail the drain

Found by a review of the drain. A session that was told that it ends was waited for up to 1 s, also beyond the end of the drain, and counted as a statement in progress; so was a connection whose startup had just been read, which could be closed without its answer. The wait for the caller to close ends with the drain, which fails only for statements that are not answered. A second drain does not go back to an earlier phase, and a listener that is served after the server has closed is closed.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -31,9 +31,9 @@
 type callerState uint8
 
 const (
-	callerStarting  callerState = iota // the startup is not answered yet
+	callerStarting  callerState = iota // the startup has not been read
 	callerReading                      // the session waits for a statement
-	callerExecuting                    // the last statement is not answered yet
+	callerExecuting                    // the startup or the last statement is not answered yet
 	callerLeaving                      // the caller was told that its session ends
 )
 
@@ -83,7 +83,8 @@
 	}
 }
 
-// leaveTimeout is how long a caller has to close its connection after it was told that its session ends.
+// leaveTimeout is how long a caller has to close its connection after it was told that its session ends, at most until the
+// end of the drain.
 const leaveTimeout = time.Second
 
 // end rolls back the open transaction, if any, and tells the caller that its session ends.
@@ -93,10 +94,18 @@
 		reason = errkind.New(errkind.TransactionLost, "entry VM %s is stopping, the transaction was idle for too long", c.server.opts.VMName)
 	}
 	c.rollback(c.session.Abandon())
+	c.setState(callerLeaving)
+	deadline := time.Now().Add(leaveTimeout)
+	if end := c.server.drainEnd.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
+	}
+	c.conn.EndSession(reason, deadline)
+}
+
+func (c *callerSession) setState(s callerState) {
 	c.mu.Lock()
-	c.state = callerLeaving
-	c.mu.Unlock()
-	c.conn.EndSession(reason, time.Now().Add(leaveTimeout))
+	defer c.mu.Unlock()
+	c.state = s
 }
 
 // startup reads and answers the caller's startup and reports whether the session was accepted.
@@ -105,6 +114,7 @@
 	if c.database, err = c.conn.ReadStartup(); err != nil {
 		return false
 	}
+	c.setState(callerExecuting)
 	if _, err = c.currentPolicy(); err == nil && c.mustEnd() {
 		err = c.server.drainingError()
 	}
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -26,13 +26,15 @@
 // Drain ends the service within the time that ctx leaves, one minute if ctx has no deadline. It serves callers as before
 // for the drain grace, at most a third of the time, and then closes each caller that is outside a transaction. In the last
 // third of the time it also closes callers that idle in a transaction, which is rolled back. Statements in progress finish,
-// or are cancelled answerReserve before the end. It returns nil once no caller is left.
+// or are cancelled answerReserve before the end. It returns nil once no caller is left, or if at the end only callers are left
+// that have got all their answers.
 func (s *Server) Drain(ctx context.Context) error {
 	end, ok := ctx.Deadline()
 	if !ok {
 		end = time.Now().Add(time.Minute)
 	}
 	start := time.Now()
+	s.drainEnd.Store(&end)
 	s.logDrain("serving as before", start)
 	sleepUntil(ctx, start.Add(min(s.opts.DrainGrace, end.Sub(start)/3)))
 	s.close()
@@ -52,7 +54,10 @@
 	}
 	s.logDrain("ended by its limit", start)
 	s.logUnanswered()
-	return errkind.New(errkind.Draining, "statements of %d callers are still in progress", s.Connections())
+	if n := s.countCallers().executing; n > 0 {
+		return errkind.New(errkind.Draining, "statements of %d callers are still in progress", n)
+	}
+	return nil
 }
 
 func (s *Server) close() {
@@ -117,9 +122,9 @@
 // enter begins a phase of the drain. Sessions that are to end and wait for a statement are woken; the others read the phase
 // before they wait.
 func (s *Server) enter(p drainPhase) {
-	s.phase.Store(int32(p))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.phase.Store(max(s.phase.Load(), int32(p)))
 	for c := range s.callers {
 		c.wake(p)
 	}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -65,8 +65,9 @@
 type Server struct {
 	opts           Options
 	acceptLogLimit loglimit.Limiter
-	phase          atomic.Int32    // a drainPhase
-	units          context.Context // parent of the contexts of all units; cancelled at the end of a drain
+	phase          atomic.Int32              // a drainPhase
+	drainEnd       atomic.Pointer[time.Time] // nil unless the server drains
+	units          context.Context           // parent of the contexts of all units; cancelled at the end of a drain
 	cancelUnits    context.CancelFunc
 
 	mu         sync.Mutex
@@ -85,9 +86,9 @@
 
 // Serve accepts callers until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, l)
-	s.mu.Unlock()
+	if !s.addListener(l) {
+		return l.Close()
+	}
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -109,6 +110,17 @@
 	}
 }
 
+// addListener adds a listener, which close closes. It returns false if the server is closing.
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	return true
+}
+
 func (s *Server) add(c *callerSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
