pkg/session, pkg/peer: a statement at a silent owner is answered before the drain ends

Found by a review: a statement that is cancelled 500 ms before the end of the drain waits up to 1 s for the outcome if it was forwarded to another VM, so that its caller got no answer when that VM was silent.

Cause: two limits that do not know of each other. The cause with which a stopping VM cancels a unit now carries the time by which the caller must be answered (200 ms before the end), and the wait for the outcome ends there: unknown for a write, failed for a read.

--- a/pkg/peer/execute.go
+++ b/pkg/peer/execute.go
@@ -147,7 +147,7 @@
 			}
 			if err != nil && ctxDone != nil { // the caller is gone: stop the owner, but wait for the outcome
 				f.sink = nil // discards the rest of the answer
-				ctxDone, giveUp = nil, f.cancelAtOwner(cancelGrace)
+				ctxDone, giveUp = nil, f.cancelAtOwner(unit.OutcomeWait(ctx, cancelGrace))
 			}
 		case <-ctxDone:
 			if errkind.Is(context.Cause(ctx), errkind.RequestOutcomeUnknown) { // the outcome stays unknown whatever the owner answers
@@ -155,7 +155,7 @@
 				return f.failedResult(context.Cause(ctx)), false
 			}
 			if errors.Is(ctx.Err(), context.Canceled) {
-				grace = cancelGrace
+				grace = unit.OutcomeWait(ctx, cancelGrace)
 			}
 			ctxDone, giveUp = nil, f.cancelAtOwner(grace)
 		case <-f.conn.closed:
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -23,6 +23,9 @@
 // are still told what is known of the outcome.
 const answerReserve = 500 * time.Millisecond
 
+// writeReserve is the part of answerReserve in which answers are written.
+const writeReserve = 200 * time.Millisecond
+
 // Drain ends the service within the time that ctx leaves, one minute if ctx has no deadline. It serves callers as before
 // for the drain grace, at most a third of the time, and then closes each caller that is outside a transaction. In the last
 // third of the time it also closes callers that idle in a transaction, which is rolled back. Statements in progress finish,
@@ -46,7 +49,7 @@
 	}
 	if !s.waitUntilEmpty(ctx, end.Add(-min(answerReserve, end.Sub(start)/3))) {
 		s.logDrain("cancelling statements in progress", start)
-		s.cancelUnits()
+		s.cancelUnits(&unit.StopError{AnswerBefore: end.Add(-writeReserve)})
 	}
 	if s.waitUntilEmpty(ctx, end) {
 		s.logDrain("ended", start)
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// drain starts a drain with a limit of 6 s. The returned function waits for its end and returns its error and duration.
-func (d *drainTest) drain(t *testing.T) func() (error, time.Duration) {
+// drain starts a drain with a limit of 6 s. The returned function waits for its end and returns its duration and error.
+func (d *drainTest) drain(t *testing.T) func() (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 	t.Cleanup(cancel)
 	type end struct {
@@ -78,9 +78,9 @@
 		ended <- end{err, time.Now()}
 	}()
 	synctest.Wait()
-	return func() (error, time.Duration) {
+	return func() (time.Duration, error) {
 		d := <-ended
-		return d.err, d.at.Sub(start)
+		return d.at.Sub(start), d.err
 	}
 }
 
@@ -95,7 +95,7 @@
 		require.NotNil(t, early, "callers are accepted until the grace ends")
 		time.Sleep(3 * time.Second)
 		require.Nil(t, d.connect(t), "a caller was accepted after the grace")
-		err, took := wait()
+		took, err := wait()
 		require.NoError(t, err)
 		require.Equal(t, 2*time.Second, took)
 	})
@@ -130,7 +130,7 @@
 			require.True(t, ok, "the session ended before statement %d", k)
 			require.NoError(t, a.Err)
 		}
-		err, took := wait()
+		took, err := wait()
 		require.NoError(t, err)
 		require.Less(t, took, 4*time.Second)
 	})
@@ -157,7 +157,7 @@
 				f := d.connect(t)
 				f.statements <- statement(c.kind)
 				wait := d.drain(t)
-				err, took := wait()
+				took, err := wait()
 				require.NoError(t, err)
 				require.Less(t, took, 6*time.Second)
 				require.Len(t, f.answers, 1)
@@ -185,7 +185,7 @@
 		require.True(t, errkind.Is(<-idle.ended, errkind.Draining))
 		require.True(t, errkind.Is(<-inTransaction.ended, errkind.TransactionLost))
 		require.Len(t, rollbacks, 1, "the transaction must be rolled back before its caller is told so")
-		err, took := wait()
+		took, err := wait()
 		require.NoError(t, err)
 		require.Equal(t, 4*time.Second+leaveTimeout, took)
 	})
@@ -198,7 +198,7 @@
 		f := newFakeCaller()
 		f.startup = make(chan struct{})
 		d.connectCaller(t, f)
-		err, took := d.drain(t)()
+		took, err := d.drain(t)()
 		require.NoError(t, err)
 		require.Equal(t, 4*time.Second, took)
 	})
@@ -223,7 +223,7 @@
 		a, ok := f.send(KindCommit)
 		require.True(t, ok, "the session ended before the commit")
 		require.NoError(t, a.Err)
-		err, _ := wait()
+		_, err := wait()
 		require.NoError(t, err)
 	})
 }
@@ -240,7 +240,7 @@
 		time.Sleep(3 * time.Second)
 		close(f.startup)
 		require.True(t, errkind.Is(<-f.started, errkind.Draining))
-		err, took := wait()
+		took, err := wait()
 		require.NoError(t, err)
 		require.Equal(t, 3*time.Second, took)
 	})
@@ -257,7 +257,7 @@
 		f.stays = true
 		d.connectCaller(t, f)
 		f.statements <- statement(KindWrite)
-		err, took := d.drain(t)()
+		took, err := d.drain(t)()
 		require.NoError(t, err)
 		require.LessOrEqual(t, took, 6*time.Second)
 		require.Len(t, f.answers, 1)
@@ -268,7 +268,7 @@
 func TestServeAfterDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDrainTest(t, fakeExecutor{}, nil)
-		err, _ := d.drain(t)()
+		_, err := d.drain(t)()
 		require.NoError(t, err)
 		late := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 		require.NoError(t, d.Serve(late))
@@ -279,3 +279,19 @@
 		}
 	})
 }
+
+// A cancelled statement whose member is silent must be answered before the end of the drain, with an unknown outcome.
+func TestSilentMemberAtTheEndOfADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t, fakeExecutor{rollbacks: make(chan unit.TxRef, 1), execute: func(ctx context.Context, _ *unit.Unit) unit.Result {
+			<-ctx.Done()
+			time.Sleep(unit.OutcomeWait(ctx, time.Second))
+			return unit.Failed(errkind.New(errkind.Cancelled, "the caller cancelled the request"))
+		}}, nil)
+		f := d.connect(t)
+		f.statements <- statement(KindWrite)
+		_, err := d.drain(t)()
+		require.NoError(t, err)
+		require.True(t, errkind.Is((<-f.answers).Err, errkind.RequestOutcomeUnknown))
+	})
+}
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -68,7 +68,7 @@
 	phase          atomic.Int32              // a drainPhase
 	drainEnd       atomic.Pointer[time.Time] // nil unless the server drains
 	units          context.Context           // parent of the contexts of all units; cancelled at the end of a drain
-	cancelUnits    context.CancelFunc
+	cancelUnits    context.CancelCauseFunc
 
 	mu         sync.Mutex
 	callers    map[*callerSession]struct{} // guarded by mu
@@ -80,7 +80,7 @@
 // NewServer returns a server that listens nowhere yet.
 func NewServer(o Options) *Server {
 	s := &Server{opts: o, callers: map[*callerSession]struct{}{}, callerLeft: make(chan struct{})}
-	s.units, s.cancelUnits = context.WithCancel(context.Background())
+	s.units, s.cancelUnits = context.WithCancelCause(context.Background())
 	return s
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -65,7 +65,7 @@
 	// Drain is how long callers have to finish their units and transactions during a graceful shutdown.
 	Drain clusterconfig.Duration `json:"drain" validate:"min=1000000000,max=600000000000"`
 	// Close is how long the daemon may take after Drain to finish units of other daemons and to close connections. The
-	// process ends at most Drain and Close after the signal to stop.
+	// process ends at most Drain and Close after the signal to stop, and once its log has been written.
 	Close clusterconfig.Duration `json:"close" validate:"min=100000000,max=60000000000"`
 }
 
--- /dev/null
+++ b/pkg/unit/stop.go
@@ -0,0 +1,26 @@
+package unit
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// StopError is the cause with which a stopping VM cancels the contexts of units.
+type StopError struct {
+	// AnswerBefore is the time at which the caller must have its answer, even if the outcome of the unit is not known.
+	AnswerBefore time.Time
+}
+
+// Error implements error.
+func (*StopError) Error() string { return "the VM is stopping" }
+
+// OutcomeWait returns how long to wait for the outcome of a unit whose context has ended: limit, or less if the VM stops
+// earlier.
+func OutcomeWait(ctx context.Context, limit time.Duration) time.Duration {
+	var stop *StopError
+	if !errors.As(context.Cause(ctx), &stop) {
+		return limit
+	}
+	return max(min(limit, time.Until(stop.AnswerBefore)), 0)
+}
