daemon: SIGTERM during the start leads to a graceful shutdown

Cause, found by a review: the signals are relayed only once app.Wait has been called, which was after app.Start. A SIGTERM between the start of the front end and that call ended the process at once, with the callers that had connected.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -70,12 +70,13 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
+	stop := app.Wait() // before Start, since until then a signal ends the process without the shutdown
 	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	signal := <-app.Wait()
+	signal := <-stop
 	e.Log.WithField("signal", fmt.Sprint(signal.Signal)).WithField("limit", time.Duration(s.Limits.Drain).String()).Info("stopping")
 	ctx, cancel = context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
