platform/adapter: a promoter whose first request is not answered may have had the turn

For this, PreparePromotion is told the term, which pkg/group knows.

Not covered: a request whose answer is still missing when its attempt ends, and that is carried out before another promoter's.

--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -381,7 +381,7 @@
 	claims      atomic.Int32
 }
 
-func (p *countingPreparer) PreparePromotion(context.Context, string) error {
+func (p *countingPreparer) PreparePromotion(context.Context, string, platform.Term) error {
 	if p.unavailable.Load() {
 		return platform.ErrUnavailable
 	}
--- a/pkg/group/prepare.go
+++ b/pkg/group/prepare.go
@@ -46,7 +46,7 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, claimTimeout)
-		err := c.PreparePromotion(ctx, s.name)
+		err := c.PreparePromotion(ctx, s.name, term)
 		cancel()
 		if err == nil {
 			s.setClaimed(term)
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -125,9 +125,9 @@
 // PromotionPreparer is implemented by a MemberControl whose promotions need the table service, in which a VM claims the right
 // to promote.
 type PromotionPreparer interface {
-	// PreparePromotion claims the right to promote a member of the service. A promoter calls it in advance, so that a
-	// promotion does not depend on the table service being up when the primary is lost.
-	PreparePromotion(ctx context.Context, service string) error
+	// PreparePromotion claims the right to replace the service's primary of the given term. A promoter calls it in advance, so
+	// that a promotion does not depend on the table service being up when the primary is lost.
+	PreparePromotion(ctx context.Context, service string, term Term) error
 }
 
 // Guarantees states what the endpoints of an installation ensure by themselves. The owners of members check what they do not
