pkg/group: a promotion that the platform refuses is no answer of the member

The platform answers 409 also for a member that does not run. The watcher took the refusal for an answer of that member, which then counted as reachable and towards the majority that a promotion needs. A promoter that leaves the turn to another one does not even ask the platform, so that each of its attempts would have had that effect.

The refusal has an error of its own now, platform.ErrPromotionRefused, which wraps ErrFenced; the state of the member stays as it is.

Evidence: TestRefusedPromotionIsNoAnswer failed before (group_test.go:502: "Should be false", the dead member is reachable).

--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -211,6 +211,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	switch {
+	case errors.Is(err, platform.ErrPromotionRefused): // the member itself has not answered
 	case err == nil, errors.Is(err, platform.ErrFenced) && st.Member != "":
 		s.recordStatus(m, sent, now, st)
 	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrBusy): // the member answered, but without a status
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -21,9 +22,11 @@
 	ErrConflict       = errors.New("platform: row version differs")
 	ErrUnavailable    = errors.New("platform: request was not accepted")     // it had no effect
 	ErrOutcomeUnknown = errors.New("platform: no answer; effect is unknown") // it may have taken effect
-	// ErrFenced means that the member refused the request, usually since it holds a higher fence, or that the platform refused
-	// a promotion, usually since another VM has promoted a member after a later claim.
+	// ErrFenced means that the member refused the request, usually since it holds a higher fence.
 	ErrFenced = errors.New("platform: member holds a higher fence")
+	// ErrPromotionRefused wraps ErrFenced. It means that not the member but the platform refused a promotion, usually since
+	// another VM has promoted a member after a later claim.
+	ErrPromotionRefused = fmt.Errorf("%w: the platform refused the promotion", ErrFenced)
 	// ErrRefused is wrapped together with ErrUnavailable when the other side refused a connection, or closed it at once: its
 	// machine answers, but its process does not run.
 	ErrRefused = errors.New("platform: connection refused")
