--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -21,9 +22,11 @@
 	ErrConflict       = errors.New("platform: row version differs")
 	ErrUnavailable    = errors.New("platform: request was not accepted")     // it had no effect
 	ErrOutcomeUnknown = errors.New("platform: no answer; effect is unknown") // it may have taken effect
-	// ErrFenced means that the member refused the request, usually since it holds a higher fence, or that the platform refused
-	// a promotion, usually since another VM has promoted a member after a later claim.
+	// ErrFenced means that the member refused the request, usually since it holds a higher fence.
 	ErrFenced = errors.New("platform: member holds a higher fence")
+	// ErrPromotionRefused wraps ErrFenced. It means that not the member but the platform refused a promotion, usually since
+	// another VM has promoted a member after a later claim.
+	ErrPromotionRefused = fmt.Errorf("%w: the platform refused the promotion", ErrFenced)
 	// ErrRefused is wrapped together with ErrUnavailable when the other side refused a connection, or closed it at once: its
 	// machine answers, but its process does not run.
 	ErrRefused = errors.New("platform: connection refused")
@@ -125,9 +128,9 @@
 // PromotionPreparer is implemented by a MemberControl whose promotions need the table service, in which a VM claims the right
 // to promote.
 type PromotionPreparer interface {
-	// PreparePromotion claims the right to promote a member of the service. A promoter calls it in advance, so that a
-	// promotion does not depend on the table service being up when the primary is lost.
-	PreparePromotion(ctx context.Context, service string) error
+	// PreparePromotion claims the right to replace the service's primary of the given term. A promoter calls it in advance, so
+	// that a promotion does not depend on the table service being up when the primary is lost.
+	PreparePromotion(ctx context.Context, service string, term Term) error
 }
 
 // Guarantees states what the endpoints of an installation ensure by themselves. The owners of members check what they do not
