--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -65,9 +65,10 @@
 type Server struct {
 	opts           Options
 	acceptLogLimit loglimit.Limiter
-	phase          atomic.Int32    // a drainPhase
-	units          context.Context // parent of the contexts of all units; cancelled at the end of a drain
-	cancelUnits    context.CancelFunc
+	phase          atomic.Int32              // a drainPhase
+	drainEnd       atomic.Pointer[time.Time] // nil unless the server drains
+	units          context.Context           // parent of the contexts of all units; cancelled at the end of a drain
+	cancelUnits    context.CancelCauseFunc
 
 	mu         sync.Mutex
 	callers    map[*callerSession]struct{} // guarded by mu
@@ -79,15 +80,15 @@
 // NewServer returns a server that listens nowhere yet.
 func NewServer(o Options) *Server {
 	s := &Server{opts: o, callers: map[*callerSession]struct{}{}, callerLeft: make(chan struct{})}
-	s.units, s.cancelUnits = context.WithCancel(context.Background())
+	s.units, s.cancelUnits = context.WithCancelCause(context.Background())
 	return s
 }
 
 // Serve accepts callers until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, l)
-	s.mu.Unlock()
+	if !s.addListener(l) {
+		return l.Close()
+	}
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -109,6 +110,17 @@
 	}
 }
 
+// addListener adds a listener, which close closes. It returns false if the server is closing.
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	return true
+}
+
 func (s *Server) add(c *callerSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
