pkg/frontend, pkg/peer: units that a stop cancels carry the time before which their callers need an answer

A unit that was forwarded to a silent owner waits 1 s for the outcome after it was cancelled, which is longer than the 0.5 s that a drain leaves for answers. The drain of the front end and the shutdown of the peer server now cancel with unit.StopError, as pkg/session does, in place of a flag. The units of a front end, and those of one peer connection, have a common parent context, so that units that begin during the reserve end as well.

Evidence: TestRequestInProgressAtTheEndOfADrain with an owner that does not answer fails without the cause: "units of work of callers are still in progress".

--- a/pkg/frontend/drain.go
+++ b/pkg/frontend/drain.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
 const (
 	// answerReserve is the time before the end of a drain at which units in progress are cancelled, so that their callers
 	// are still told what is known of the outcome.
 	answerReserve = 500 * time.Millisecond
+	// writeReserve is the part of answerReserve in which answers are written.
+	writeReserve = 200 * time.Millisecond
 	// answerReserveDivisor bounds answerReserve to a part of a short drain.
 	answerReserveDivisor = 3
 )
@@ -33,6 +36,7 @@
 	defer retry.Stop()
 	ctxDone, reserveBegins, ending := ctx.Done(), untilAnswerReserve(ctx), false
 	var giveUp <-chan time.Time
+	end, _ := ctx.Deadline()
 	for {
 		s.mu.Lock()
 		n, changed := len(s.sessions), s.sessionEnded
@@ -48,9 +52,11 @@
 			continue
 		case <-reserveBegins:
 			ending = true
+			s.cancelUnits(&unit.StopError{AnswerBefore: end.Add(-writeReserve)})
 		case <-ctxDone:
 			ctxDone, ending = nil, true
 			giveUp = time.After(callerCheckInterval)
+			s.cancelUnits(&unit.StopError{AnswerBefore: time.Now()})
 		case <-retry.C:
 		case <-giveUp:
 			if s.closeIdle(true) > 0 {
@@ -60,7 +66,6 @@
 		}
 		if ending {
 			s.closeIdle(true)
-			s.cancelUnits()
 		}
 	}
 }
@@ -97,14 +102,6 @@
 	return busy
 }
 
-// cancelUnits cancels the units in progress of all sessions.
-func (s *Server) cancelUnits() {
-	for _, c := range s.allSessions() {
-		c.cancelledByDrain.Store(true)
-		c.cancelUnit()
-	}
-}
-
 func (s *Server) allSessions() []*session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/frontend/drain_test.go
+++ b/pkg/frontend/drain_test.go
@@ -82,13 +82,15 @@
 	require.NoError(t, <-drained)
 }
 
-// cancellableUnits ends each unit with an unknown outcome, half a minute after it began or when it is cancelled.
+// cancellableUnits ends each unit with an unknown outcome, half a minute after it began, or after it was cancelled and its
+// owner has not answered for a second.
 type cancellableUnits struct{ unit.Executor }
 
 func (cancellableUnits) Execute(ctx context.Context, _ *unit.Unit, _ unit.Sink) unit.Result {
 	select {
 	case <-time.After(30 * time.Second):
 	case <-ctx.Done():
+		time.Sleep(unit.OutcomeWait(ctx, time.Second))
 	}
 	return unit.Failed(errkind.Wrap(errkind.Cancelled, ctx.Err(), "cancelled"))
 }
--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -79,7 +79,7 @@
 	ctx, cancel := c.beginUnit(start, unitTimeout(class.Target))
 	txBefore := c.tx
 	res := c.server.runners.execute(ctx, u, &w.sink)
-	if res.Err != nil && c.cancelledByDrain.Load() && errors.Is(ctx.Err(), context.Canceled) {
+	if stop := (*unit.StopError)(nil); res.Err != nil && errors.As(context.Cause(ctx), &stop) {
 		res.Err = unit.CancelledByStop(c.server.options.VMName, u, res)
 	}
 	code := observedCode(ctx, res)
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -32,6 +33,9 @@
 	startups *admission
 	runners  runnerPool
 
+	units       context.Context // parent of the contexts of all units; cancelled at the end of a drain
+	cancelUnits context.CancelCauseFunc
+
 	openConns    atomic.Int64 // open connections, including those in startup
 	draining     atomic.Bool
 	startMonitor sync.Once
@@ -50,12 +54,14 @@
 // New returns a server, which accepts callers once Serve is called.
 func New(o Options) *Server {
 	o = o.withDefaults()
-	return &Server{
+	s := &Server{
 		options: o, processIDPrefix: ProcessIDPrefix(o.VMName), sessions: map[uint16]*session{},
 		startups: newAdmission(maxConcurrentStartups, maxWaitingStartups, minStartupHold, maxStartupHold),
 		runners:  runnerPool{executor: o.Executor},
 		drained:  make(chan struct{}), sessionEnded: make(chan struct{}),
 	}
+	s.units, s.cancelUnits = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Serve accepts callers until the listener is closed or the server drains; then it returns nil.
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -49,13 +49,10 @@
 
 	unitStarted    atomic.Int64 // start of the unit in progress in Unix nanoseconds; 0 if there is none
 	closeRequested atomic.Bool  // draining has asked the idle session to close
-	// cancelledByDrain is set before the unit in progress is cancelled at the end of a drain.
-	cancelledByDrain atomic.Bool
-
-	mu            sync.Mutex
-	cancelRunning context.CancelFunc // guarded by mu; cancels the unit in progress; nil if there is none
-	inTx          bool               // guarded by mu; inTransaction after the last unit, for closeIfIdle
-	leaving       bool               // guarded by mu; the caller is told that its session ends
+	mu             sync.Mutex
+	cancelRunning  context.CancelFunc // guarded by mu; cancels the unit in progress; nil if there is none
+	inTx           bool               // guarded by mu; inTransaction after the last unit, for closeIfIdle
+	leaving        bool               // guarded by mu; the caller is told that its session ends
 }
 
 // serve runs units until the caller leaves or the server drains. It reports whether the caller was told why its session
@@ -159,7 +156,7 @@
 
 // beginUnit marks a unit as in progress, so that it can be cancelled, and returns its context.
 func (c *session) beginUnit(start time.Time, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(timeout))
+	ctx, cancel := context.WithDeadline(c.server.units, start.Add(timeout))
 	c.mu.Lock()
 	c.cancelRunning = cancel
 	c.mu.Unlock()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -235,6 +235,7 @@
 		return false
 	}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	c.units, c.cancelUnits = context.WithCancelCause(c.ctx)
 	s.conns[c] = struct{}{}
 	return true
 }
--- a/pkg/peer/serverconn.go
+++ b/pkg/peer/serverconn.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
@@ -28,6 +27,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
+	units       context.Context // parent of the contexts of units; ends before ctx in a shutdown
+	cancelUnits context.CancelCauseFunc
+
 	mu              sync.Mutex
 	running         map[uint64]*unitRun // by id of the unit
 	runningHandlers int                 // of control messages
@@ -133,7 +135,7 @@
 	}
 	full := len(c.running) >= c.server.opts.MaxUnits
 	if !full {
-		r.ctx, r.cancel = context.WithTimeout(c.ctx, x.Deadline)
+		r.ctx, r.cancel = context.WithTimeout(c.units, x.Deadline)
 		c.running[x.ID] = r
 	}
 	c.mu.Unlock()
@@ -159,8 +161,6 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	cancelledByShutdown atomic.Bool
-
 	mu            sync.Mutex
 	credit        int         // bytes that may still be sent
 	creditAdded   ring.Signal // raised after credit was added
@@ -173,7 +173,7 @@
 	c := r.conn
 	defer c.server.units.Done()
 	res := r.runUnit()
-	if res.Err != nil && r.cancelledByShutdown.Load() {
+	if stop := (*unit.StopError)(nil); res.Err != nil && errors.As(context.Cause(r.ctx), &stop) {
 		res.Err = unit.CancelledByStop(c.server.opts.Self.Name, r.unit, res)
 	}
 	r.cancel()
--- a/pkg/peer/shutdown.go
+++ b/pkg/peer/shutdown.go
@@ -15,6 +15,8 @@
 	// answerReserve is the time before the end of a shutdown at which running units are cancelled, so that their senders
 	// are still told the outcome.
 	answerReserve = 500 * time.Millisecond
+	// writeReserve is the part of answerReserve in which answers are written.
+	writeReserve = 200 * time.Millisecond
 	// answerReserveDivisor bounds answerReserve to a part of a short shutdown.
 	answerReserveDivisor = 3
 )
@@ -33,7 +35,8 @@
 		case <-refusalEnd:
 			refusalEnd = nil
 		case <-reserve:
-			s.cancelUnits()
+			end, _ := ctx.Deadline()
+			s.cancelUnits(end.Add(-writeReserve))
 		case <-ctx.Done():
 			return
 		}
@@ -75,15 +78,11 @@
 	return true
 }
 
-// cancelUnits cancels the running units. Their connections stay open for the results.
-func (s *Server) cancelUnits() {
+// cancelUnits cancels the running units, whose senders must have an answer before the given time. Their connections stay open
+// for the results.
+func (s *Server) cancelUnits(answerBefore time.Time) {
 	for _, c := range s.connections() {
-		c.mu.Lock()
-		for _, r := range c.running {
-			r.cancelledByShutdown.Store(true)
-			r.cancel()
-		}
-		c.mu.Unlock()
+		c.cancelUnits(&unit.StopError{AnswerBefore: answerBefore})
 	}
 }
 
--- a/pkg/unit/stop.go
+++ b/pkg/unit/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 )
 
 // StopError is the cause with which a stopping VM cancels the contexts of units.
@@ -24,3 +26,16 @@
 	}
 	return max(min(limit, time.Until(stop.AnswerBefore)), 0)
 }
+
+// CancelledByStop returns the error of a unit that the stopping VM has cancelled. Its kind says what is known of the unit's
+// outcome, in place of the kind for a request that its caller has cancelled.
+func CancelledByStop(vm string, u *Unit, res Result) error {
+	kind := errkind.ReadFailed
+	switch {
+	case res.Outcome == errkind.OutcomeNotRun:
+		kind = errkind.Draining
+	case u.Write:
+		kind = errkind.RequestOutcomeUnknown
+	}
+	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", vm)
+}
--- a/pkg/unit/unit.go
+++ b/pkg/unit/unit.go
@@ -143,16 +143,3 @@
 func Failed(err error) Result {
 	return Result{Outcome: errkind.Of(err).Outcome, Err: err, TxStatus: 'I'}
 }
-
-// CancelledByStop returns the error of a unit that the stopping VM has cancelled. Its kind says what is known of the unit's
-// outcome, in place of the kind for a request that its caller has cancelled.
-func CancelledByStop(vm string, u *Unit, res Result) error {
-	kind := errkind.ReadFailed
-	switch {
-	case res.Outcome == errkind.OutcomeNotRun:
-		kind = errkind.Draining
-	case u.Write:
-		kind = errkind.RequestOutcomeUnknown
-	}
-	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", vm)
-}
