--- a/emulator/netfault/link.go
+++ b/emulator/netfault/link.go
@@ -25,6 +25,13 @@
 	return &Link{delay: delay, limiter: limiter, conns: map[*conn]struct{}{}}
 }
 
+// Delay returns the one-way delay of data received now.
+func (l *Link) Delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
+
 // SetDelay changes the one-way delay of data received from now on.
 func (l *Link) SetDelay(d time.Duration) {
 	l.mu.Lock()
--- a/emulator/workload/ledger.go
+++ b/emulator/workload/ledger.go
@@ -16,6 +16,7 @@
 	Lost                           []string // ids of orders that were acknowledged, but have no row
 	RanAnyway                      []string // ids of orders that were refused as not run, but have a row
 	UnknownPresent                 int      // orders of unknown outcome that have a row
+	Partial                        []string // ids of transactions of which some orders have a row and others do not
 }
 
 // Check compares the orders with the rows, which it reads from the primaries of all services at their data addresses. An
@@ -28,7 +29,13 @@
 		}
 	}
 	ledger := &Ledger{}
+	wholes := map[string]bool{} // by transaction: whether its first order has a row
 	for _, order := range r.Orders {
+		if first, seen := wholes[order.Transaction]; order.Transaction != "" && !seen {
+			wholes[order.Transaction] = present[order.ID]
+		} else if order.Transaction != "" && first != present[order.ID] {
+			ledger.Partial = append(ledger.Partial, order.Transaction)
+		}
 		switch order.Outcome {
 		case Acknowledged:
 			ledger.Acknowledged++
--- a/emulator/workload/result.go
+++ b/emulator/workload/result.go
@@ -21,12 +21,14 @@
 
 // Order is one attempt of a caller to insert a row.
 type Order struct {
-	Key     string    // session key, which selects the service
-	ID      string    // primary key of the row
-	Addr    string    // caller address of the entry VM
-	At      time.Time // when the caller learnt the outcome
-	Outcome Outcome
-	Err     error // what the driver returned; nil if the order was acknowledged
+	Key string // session key, which selects the service
+	ID  string // primary key of the row
+	// Transaction is the id of the transaction that inserted the row; empty for a row of its own.
+	Transaction string
+	Addr        string    // caller address of the entry VM
+	At          time.Time // when the caller learnt the outcome
+	Outcome     Outcome
+	Err         error // what the driver returned; nil if the order was acknowledged
 }
 
 // ClassResult counts the requests of a class that began after the warm-up.
--- a/emulator/workload/workload.go
+++ b/emulator/workload/workload.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 )
 
 // SQLStateOutcomeUnknown is the SQLSTATE with which a daemon answers when it does not know whether a request ran.
@@ -23,8 +24,9 @@
 
 // Kinds of classes.
 const (
-	Read  Kind = iota // counts the rows, or with AskMember asks for the name of the member
-	Write             // inserts one row
+	Read        Kind = iota // counts the rows, or with AskMember asks for the name of the member
+	Write                   // inserts one row
+	Transaction             // inserts rowsPerTransaction rows in a transaction and reads each one back there
 )
 
 // Class describes the load of one class of work.
@@ -43,6 +45,20 @@
 	// ReadBack is the read class in which a caller reads its row back after each acknowledged write. Empty means that it
 	// does not.
 	ReadBack string
+	// ReadBackAfterReconnect makes a caller also read back the row that was last acknowledged each time that its session
+	// continues on a new connection. It needs ReadBack.
+	ReadBackAfterReconnect bool
+}
+
+// Request is one request of a caller, also each statement of a transaction.
+type Request struct {
+	Class, Addr string    // Addr is the caller address of the entry VM
+	Opened      time.Time // before its connection was opened
+	Begin, End  time.Time
+	// InTransaction means that an earlier statement of the same transaction was served.
+	InTransaction bool
+	Err           error  // what the driver returned
+	Wrong         string // how a served read contradicts what its caller was told before; empty if it does not
 }
 
 // Options configure a run.
@@ -55,6 +71,8 @@
 	Warmup   time.Duration // requests that begin during it are not counted in Result.Classes
 	Seed     uint64
 	OnOrder  func(Order) // called after each order, by several callers at once; may be nil
+	// OnRequest is called after each request, by several callers at once; it may be nil.
+	OnRequest func(Request)
 }
 
 // Run runs all callers until opts.Duration has passed or ctx ends, waits for the requests in progress and returns what
@@ -88,15 +106,19 @@
 
 // caller sends the requests of one class in one session, which it continues on a new connection if it loses one.
 type caller struct {
-	opts      Options
-	class     Class
-	id        int
-	collector *collector
-	rng       *rand.Rand
-	conn      *pgx.Conn // nil while there is no connection
-	addr      string    // caller address of the entry VM that the caller last connected to
-	token     string    // last session token, sent again when the session continues at another entry VM
-	lastRow   int       // number of the row last written, see rowID
+	opts          Options
+	class         Class
+	id            int
+	collector     *collector
+	rng           *rand.Rand
+	conn          *pgx.Conn // nil while there is no connection
+	opened        time.Time // before the connection was opened
+	fatal         error     // with which the server ended the connection; nil if it did not
+	addr          string    // caller address of the entry VM that the caller last connected to
+	token         string    // last session token, sent again when the session continues at another entry VM
+	lastRow       int       // number of the row last written, see rowID
+	inTransaction bool      // a statement of the open transaction was served
+	lastAcked     string    // primary key of the row that was last acknowledged; empty if there is none
 }
 
 // sessionKey returns the session key of the caller, or "" if callers send none.
@@ -139,6 +161,7 @@
 	connectTimeout = 5 * time.Second
 	connectPause   = 50 * time.Millisecond // after a failed attempt to connect
 	requestTimeout = 45 * time.Second
+	severityFatal  = "FATAL" // of an error that ends the connection
 )
 
 // connect opens a connection to a random entry VM and reports whether it succeeded. After a failed attempt it pauses.
@@ -156,12 +179,47 @@
 	if key := c.sessionKey(); key != "" {
 		config.RuntimeParams["sycamorehub.key"] = key
 	}
+	c.fatal, c.opened = nil, time.Now()
+	config.OnPgError = func(_ *pgconn.PgConn, err *pgconn.PgError) bool {
+		if err.Severity != severityFatal {
+			return true
+		}
+		c.fatal = err
+		return false // closes the connection
+	}
 	c.conn, err = pgx.ConnectConfig(ctx, config)
 	if err != nil {
 		c.conn = nil
 		sleep(ctx, connectPause)
+		return false
+	}
+	if c.class.ReadBackAfterReconnect && c.lastAcked != "" {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+		defer cancel()
+		c.readBack(ctx)
+		c.keepToken()
+	}
+	return c.conn != nil
+}
+
+// answer returns the error with which the server ended the connection if err, which the driver returned, does not hold it.
+// The driver drops it when the server ends the connection while the driver deallocates a prepared statement.
+func (c *caller) answer(err error) error {
+	var pg *pgconn.PgError
+	if err != nil && c.fatal != nil && !errors.As(err, &pg) {
+		return fmt.Errorf("%w (%w)", c.fatal, err)
+	}
+	return err
+}
+
+// keepToken keeps the session's token for the next connection, and forgets a connection that has closed.
+func (c *caller) keepToken() {
+	if t := c.conn.PgConn().ParameterStatus("sycamorehub.token"); t != "" {
+		c.token = t
+	}
+	if c.conn.IsClosed() {
+		c.conn = nil
 	}
-	return err == nil
 }
 
 func (c *caller) disconnect() {
@@ -180,19 +238,28 @@
 	defer cancel()
 	start := time.Now()
 	var err error
-	if c.class.Kind == Write {
+	switch c.class.Kind {
+	case Write:
 		err = c.write(ctx)
-	} else {
+		c.report(start, err, "")
+	case Transaction:
+		err = c.transaction(ctx)
+	default:
 		err = c.read(ctx)
+		c.report(start, err, "")
 	}
 	c.collector.addRequest(c.class.Name, err, start)
 	if err == nil && c.class.ReadBack != "" {
 		c.readBack(ctx)
 	}
-	if c.conn.IsClosed() {
-		c.conn = nil
-	} else if t := c.conn.PgConn().ParameterStatus("sycamorehub.token"); t != "" {
-		c.token = t
+	c.keepToken()
+}
+
+// report passes a request that began at begin and ends now to Options.OnRequest.
+func (c *caller) report(begin time.Time, err error, wrong string) {
+	if c.opts.OnRequest != nil {
+		c.opts.OnRequest(Request{Class: c.class.Name, Addr: c.addr, Opened: c.opened, Begin: begin, End: time.Now(), InTransaction: c.inTransaction,
+			Err: err, Wrong: wrong})
 	}
 }
 
@@ -204,27 +271,39 @@
 	c.lastRow++
 	id := c.rowID(c.lastRow)
 	_, err := c.conn.Exec(ctx, "INSERT INTO orders (key, value) VALUES ($1, $2)", id, c.class.Name)
+	err = c.answer(err)
 	outcome := outcomeOf(err)
-	order := Order{Key: c.sessionKey(), ID: id, Addr: c.addr, At: time.Now(), Outcome: outcome, Err: err}
+	c.addOrder(Order{Key: c.sessionKey(), ID: id, Addr: c.addr, At: time.Now(), Outcome: outcome, Err: err})
+	return err
+}
+
+// addOrder records an order and passes it to Options.OnOrder.
+func (c *caller) addOrder(order Order) {
+	if order.Outcome == Acknowledged {
+		c.lastAcked = order.ID
+	}
 	c.collector.addOrder(order)
 	if c.opts.OnOrder != nil {
 		c.opts.OnOrder(order)
 	}
-	return err
 }
 
-// readBack reads the last written row in the same session and counts the read as stale if it does not see the row.
+// readBack reads the row that was last acknowledged in the same session and counts the read as stale if it does not see the row.
 func (c *caller) readBack(ctx context.Context) {
+	start := time.Now()
 	if _, err := c.conn.Exec(ctx, "SET sycamorehub.class = '"+c.class.ReadBack+"'"); err != nil {
+		c.report(start, c.answer(err), "")
 		return
 	}
-	start := time.Now()
+	start = time.Now()
 	var value, member string
-	err := c.conn.QueryRow(ctx, "SELECT value FROM orders WHERE key = $1", c.rowID(c.lastRow)).Scan(&value)
+	err := c.answer(c.conn.QueryRow(ctx, "SELECT value FROM orders WHERE key = $1", c.lastAcked).Scan(&value))
 	stale := errors.Is(err, pgx.ErrNoRows)
+	wrong := ""
 	if stale {
-		err = nil
+		err, wrong = nil, "read misses "+c.lastAcked+", acknowledged in the same session"
 	}
+	c.report(start, err, wrong)
 	c.collector.addRequest(c.class.ReadBack, err, start)
 	if err == nil {
 		c.collector.addSessionRead(stale)
@@ -241,12 +320,12 @@
 func (c *caller) read(ctx context.Context) error {
 	if c.class.AskMember {
 		var member string
-		err := c.conn.QueryRow(ctx, "SELECT member_name()").Scan(&member)
+		err := c.answer(c.conn.QueryRow(ctx, "SELECT member_name()").Scan(&member))
 		if err == nil {
 			c.collector.addServedRead(c.class.Name, member)
 		}
 		return err
 	}
 	var n int64
-	return c.conn.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&n)
+	return c.answer(c.conn.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&n))
 }
