workload: a ROLLBACK after a failed statement is outside its transaction

The soak reported a drain that cut off a transaction: the caller's ROLLBACK after a statement had ended the transaction was refused with 57P01, which is an answer to a request outside a transaction.

--- a/emulator/workload/transaction.go
+++ b/emulator/workload/transaction.go
@@ -79,6 +79,7 @@
 
 // rollBack rolls the open transaction back, or closes the connection if that fails.
 func (c *caller) rollBack(ctx context.Context) {
+	c.inTransaction = false // the transaction may have ended with the statement that failed
 	if c.conn.IsClosed() {
 		return
 	}
