pkg/peer: a dial that outlives the departure of its VM leaves no connection behind

Operators saw: a daemon that got SIGTERM served its callers, but did not end by itself. It ended with its limit (drain and close), with status 1 and "context deadline exceeded".

Cause: Pool.Disconnect, called when a VM counts as gone, removes the VM's connections from the pool. A dial in progress, or one that replaces a connection that has just closed, still held them, and put its connection where the pool did not look any more: Close did not close it and waited for its reader, until the peer closed the connection for silence.

TestDialDuringDisconnectIsDropped failed before: "Close waits for a connection that the pool does not know", and the dial succeeded.

Why this works: Disconnect marks what it removes as gone. A dial in progress finds that it is not the current one and closes its connection, as after a change of address; a new dial is refused.

--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -35,6 +35,7 @@
 	vm    platform.VM
 	conns [2]*clientConn
 	dials [2]*pendingDial
+	gone  bool // Disconnect has removed it from the pool: it gets no new connections
 }
 
 // pendingDial is a dial in progress. Several goroutines can wait for it; conn and err are valid once done is closed.
@@ -80,6 +81,9 @@
 	if vc == nil {
 		return
 	}
+	vc.mu.Lock()
+	vc.gone, vc.dials = true, [2]*pendingDial{} // a dial in progress finds that it is not the current one
+	vc.mu.Unlock()
 	for _, c := range vc.openConns() {
 		c.close(ErrPeerGone)
 	}
@@ -177,6 +181,11 @@
 		return d
 	}
 	d := &pendingDial{done: make(chan struct{})}
+	if vc.gone {
+		d.err = ErrPeerGone
+		close(d.done)
+		return d
+	}
 	vc.dials[i] = d
 	vm := vc.vm
 	if !p.startGoroutine(func() { p.dial(vc, vm, purpose, d) }) {
@@ -187,7 +196,8 @@
 	return d
 }
 
-// dial opens a connection for d and makes it the current one unless the address of the VM has changed meanwhile.
+// dial opens a connection for d and makes it the current one unless the address of the VM has changed or the VM has
+// gone meanwhile.
 func (p *Pool) dial(vc *vmConns, vm platform.VM, purpose wire.Purpose, d *pendingDial) {
 	i := purposeIndex(purpose)
 	p.opts.Stats.Dials.Add(1)
@@ -206,7 +216,7 @@
 		d.err = err
 		return
 	}
-	if !current { // the VM's address has changed meanwhile
+	if !current { // the VM's address has changed or the VM has gone meanwhile
 		_ = base.nc.Close()
 		d.err = ErrPeerGone
 		return
--- a/pkg/peer/renew_test.go
+++ b/pkg/peer/renew_test.go
@@ -70,3 +70,39 @@
 	require.Same(t, now, later)
 	require.Equal(t, owner.PeerAddr, later.nc.RemoteAddr().String())
 }
+
+// A VM that counts as gone during a dial must not leave a connection behind that the pool does not know. Close waited for such
+// a connection until the peer closed it, so that a planned stop ended by its limit and with an error.
+func TestDialDuringDisconnectIsDropped(t *testing.T) {
+	owner, proxy, _ := serve(t, newExecutor(echo))
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer held.Close()
+	pool := NewPool(Options{Self: vm("proxy", "127.0.0.1:1"), Cluster: "test"})
+	gone := owner
+	gone.PeerAddr = held.Addr().String()
+	dialled := make(chan error, 1)
+	go func() {
+		_, err := pool.getConn(within(t, waitLimit), gone, wire.PurposeData)
+		dialled <- err
+	}()
+	in, err := held.Accept()
+	require.NoError(t, err)
+	vc := pool.connsTo(gone)
+	pool.Disconnect(gone.Name)
+	out, err := net.Dial("tcp", proxy.target)
+	require.NoError(t, err)
+	go pump(in, out, newGate())
+	go pump(out, in, newGate())
+	dialErr := <-dialled
+	_, replaceErr := pool.dialReplacement(within(t, time.Second), vc, wire.PurposeControl) // as suspect does for a closed connection
+	closed := make(chan struct{})
+	go func() { pool.Close(); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(waitLimit / 2): // the peer closes it later
+		t.Error("Close waits for a connection that the pool does not know")
+	}
+	require.ErrorIs(t, dialErr, ErrPeerGone)
+	require.ErrorIs(t, replaceErr, ErrPeerGone)
+}
