--- a/emulator/workload/transaction.go
+++ b/emulator/workload/transaction.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,8 +11,8 @@
 )
 
 const (
-	rowsPerTransaction  = 2
-	transactionMaxPause = 30 * time.Millisecond // between two statements of a transaction
+	rowsPerTransaction    = 2
+	defaultStatementPause = 30 * time.Millisecond
 )
 
 // transaction runs one transaction and records an order for each of its rows. All of them have the same outcome.
@@ -34,8 +35,9 @@
 	defer func() { c.inTransaction = false }()
 	_, err := c.statement(ctx, "BEGIN")
 	c.inTransaction = err == nil
+	longestPause := cmp.Or(c.class.StatementPause, defaultStatementPause)
 	for i := 0; i < rowsPerTransaction && err == nil; i++ {
-		sleep(ctx, time.Duration(c.rng.Int64N(int64(transactionMaxPause))))
+		sleep(ctx, time.Duration(c.rng.Int64N(int64(longestPause))))
 		if _, err = c.statement(ctx, "INSERT INTO orders (key, value) VALUES ($1, $2)", transactionRow(id, i), id); err == nil {
 			err = c.readOwnRow(ctx, id, i)
 		}
--- a/emulator/workload/workload.go
+++ b/emulator/workload/workload.go
@@ -35,6 +35,8 @@
 	Kind    Kind
 	Callers int           // callers that run at once, each in a session of its own
 	Pause   time.Duration // mean of the exponentially distributed pause of a caller between two requests
+	// StatementPause is the longest pause between two statements of a transaction; 0 means 30 ms.
+	StatementPause time.Duration
 	// FixedRate makes Pause count from the planned start of one request to that of the next, so that slow answers do not
 	// lower the rate as long as a caller is free when its next request is due. Load that a flood must not displace is
 	// sent so.
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,6 +30,7 @@
 	closeLimit      = 5 * time.Second
 	memberService   = "2ms"                  // time that each statement takes on a member
 	callerPause     = 50 * time.Millisecond  // mean pause of a caller between two requests
+	slowPause       = 600 * time.Millisecond // of callers that are idle, or idle in a transaction, when a stop's grace ends
 	versionInterval = 50 * time.Millisecond  // between two looks at a VM's configuration version
 	recoveryLimit   = 60 * time.Second       // for all VMs to serve again once all faults have ended
 	recoveryPause   = 100 * time.Millisecond // between two attempts to use a VM
@@ -153,7 +154,7 @@
 	return r.judge(orders)
 }
 
-// startCallers starts callers that a balancer spreads over the VMs, and two per VM that connect to no other. The function
+// startCallers starts callers that a balancer spreads over the VMs, and three per VM that connect to no other. The function
 // that it returns ends them and returns their orders.
 func (r *run) startCallers(ctx context.Context) func() *workload.Result {
 	ctx, cancel := context.WithCancel(ctx)
@@ -162,9 +163,11 @@
 	transaction := workload.Class{Name: "record", Kind: workload.Transaction, Callers: 4, Pause: callerPause, ReadBack: "confirm", ReadBackAfterReconnect: true}
 	read := workload.Class{Name: "lookup", Kind: workload.Read, Callers: 4, Pause: callerPause}
 	addrs, classes := [][]string{all}, [][]workload.Class{{write, transaction, read}}
+	slow := transaction
+	slow.Callers, slow.Pause, slow.StatementPause = 1, slowPause, slowPause
 	for _, addr := range all {
 		write.Callers, transaction.Callers = 1, 1
-		addrs, classes = append(addrs, []string{addr}), append(classes, []workload.Class{write, transaction})
+		addrs, classes = append(addrs, []string{addr}), append(classes, []workload.Class{write, transaction, slow})
 	}
 	results := make([]*workload.Result, len(addrs))
 	var wg sync.WaitGroup
