--- a/soak/faults.go
+++ b/soak/faults.go
@@ -201,7 +201,9 @@
 	link := r.network.Link(s.from, to)
 	switch {
 	case s.kind == resetLink:
-		link.Reset()
+		for end := time.Now().Add(s.length); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, s.variant) {
+			link.Reset()
+		}
 		return nil
 	case s.kind == silenceLink:
 		link.Silence()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -19,7 +19,7 @@
 	killVM        kind = "kill"             // SIGKILL, and start again
 	freezeVM      kind = "freeze"           // SIGSTOP, SIGCONT at the end
 	delayLink     kind = "delay link"       // extra delay of the connections opened from one data centre to another
-	resetLink     kind = "reset link"       // close these connections
+	resetLink     kind = "reset link"       // close these connections again and again
 	silenceLink   kind = "silence link"     // these connections stay open and carry nothing more
 	cutLink       kind = "cut link"         // no traffic on connections that are opened in this direction
 	isolate       kind = "isolate"          // a data centre is cut off from the others and from the store
@@ -40,7 +40,7 @@
 	kind       kind
 	vms        []string      // of a step on VMs or a change of the configuration
 	from, to   string        // data centres of a step on a link; from alone for isolate and turnedAway
-	variant    time.Duration // between the two signals of a stop, or the extra delay of a link or member
+	variant    time.Duration // between the two signals of a stop, the time between two resets, or an extra delay
 	flag       bool          // silent instead of refusing, or the killed member stays away
 }
 
@@ -119,7 +119,7 @@
 		order := p.random.Perm(len(p.dataCentres))
 		s.from = p.dataCentres[order[0]]
 		if k != isolate && k != turnedAway {
-			s.to = p.dataCentres[order[1]]
+			s.to = p.dataCentres[order[p.random.IntN(2)]] // also within a data centre, where owners reach their members
 		}
 		s.variant = p.between(10*time.Millisecond, 400*time.Millisecond)
 	case slowStore, lagReplica:
