--- a/soak/judge.go
+++ b/soak/judge.go
@@ -34,7 +34,8 @@
 }
 
 const (
-	codeDraining = "57P01"
+	codeDraining        = "57P01"
+	codeUniqueViolation = "23505"
 	// stopSlack is how much longer than the limits of the settings a stop may take on a busy machine.
 	stopSlack = 10 * time.Second
 )
@@ -64,6 +65,8 @@
 		return r.Wrong
 	case r.Err == nil:
 		return ""
+	case code == codeUniqueViolation:
+		return "ran twice" // each row has a key of its own
 	case code == codeDraining && r.InTransaction:
 		return "transaction cut off by a drain"
 	case code != workload.ConnectionLost && !slices.Contains(answerCodes, code):
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -40,6 +40,7 @@
 		{"lost by the process after the killed one", 21, 22, 23, "a", lost, false, "no answer from a VM that runs"},
 		{"closed without a reason", 0, 13, 13, "a", lost, false, "connection closed by a planned stop without a reason"},
 		{"outcome unknown", 0, 1, 2, "a", state(workload.SQLStateOutcomeUnknown), false, ""},
+		{"row exists", 0, 1, 2, "a", state(codeUniqueViolation), false, "ran twice"},
 		{"internal error", 0, 1, 2, "a", state("XX000"), false, "unexpected answer"},
 	} {
 		r := workload.Request{Addr: c.addr, Opened: at(c.opened), Begin: at(c.begin), End: at(c.end), Err: c.err, InTransaction: c.inTx}
