--- a/pkg/frontend/drain.go
+++ b/pkg/frontend/drain.go
@@ -8,18 +8,8 @@
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
-const (
-	// answerReserve is the time before the end of a drain at which units in progress are cancelled, so that their callers
-	// are still told what is known of the outcome.
-	answerReserve = 500 * time.Millisecond
-	// writeReserve is the part of answerReserve in which answers are written.
-	writeReserve = 200 * time.Millisecond
-	// answerReserveDivisor bounds answerReserve to a part of a short drain.
-	answerReserveDivisor = 3
-)
-
 // Drain refuses new callers with SQLSTATE 57P01 and closes each session after its current unit or transaction, idle
-// ones after the grace period. answerReserve before ctx ends, or when ctx ends without a deadline, idle transactions are
+// ones after the grace period. Shortly before ctx ends, or when ctx ends without a deadline, idle transactions are
 // rolled back and units in progress are cancelled. It returns nil once no session is left, and an error if units are
 // still in progress shortly after the end of ctx.
 func (s *Server) Drain(ctx context.Context) error {
@@ -34,7 +24,7 @@
 	defer grace.Stop()
 	retry := time.NewTicker(callerCheckInterval)
 	defer retry.Stop()
-	ctxDone, reserveBegins, ending := ctx.Done(), untilAnswerReserve(ctx), false
+	ctxDone, reserveBegins, ending := ctx.Done(), unit.UntilCancel(ctx), false
 	var giveUp <-chan time.Time
 	end, _ := ctx.Deadline()
 	for {
@@ -52,7 +42,7 @@
 			continue
 		case <-reserveBegins:
 			ending = true
-			s.cancelUnits(&unit.StopError{AnswerBefore: end.Add(-writeReserve)})
+			s.cancelUnits(unit.NewStopError(end))
 		case <-ctxDone:
 			ctxDone, ending = nil, true
 			giveUp = time.After(callerCheckInterval)
@@ -70,17 +60,6 @@
 	}
 }
 
-// untilAnswerReserve returns a channel that receives when the answer reserve of a drain that begins now begins. It is nil if
-// ctx has no deadline.
-func untilAnswerReserve(ctx context.Context) <-chan time.Time {
-	end, ok := ctx.Deadline()
-	if !ok {
-		return nil
-	}
-	left := time.Until(end)
-	return time.After(left - min(answerReserve, left/answerReserveDivisor))
-}
-
 // closeListeners closes the listeners and ends watchCallers.
 func (s *Server) closeListeners() {
 	s.mu.Lock()
--- a/pkg/peer/shutdown.go
+++ b/pkg/peer/shutdown.go
@@ -8,26 +8,17 @@
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
-const (
-	// refusalPeriod is how long a server that shuts down refuses units before it closes the connections, so that units
-	// that cross with the shutdown are answered as not run. It covers the round trip between regions.
-	refusalPeriod = 200 * time.Millisecond
-	// answerReserve is the time before the end of a shutdown at which running units are cancelled, so that their senders
-	// are still told the outcome.
-	answerReserve = 500 * time.Millisecond
-	// writeReserve is the part of answerReserve in which answers are written.
-	writeReserve = 200 * time.Millisecond
-	// answerReserveDivisor bounds answerReserve to a part of a short shutdown.
-	answerReserveDivisor = 3
-)
+// refusalPeriod is how long a server that shuts down refuses units before it closes the connections, so that units that cross
+// with the shutdown are answered as not run. It covers the round trip between regions.
+const refusalPeriod = 200 * time.Millisecond
 
-// Shutdown refuses new units as not run, waits for the running ones, which it cancels answerReserve before ctx ends, and
+// Shutdown refuses new units as not run, waits for the running ones, which it cancels shortly before ctx ends, and
 // closes the server. It does not close before refusalPeriod has passed unless ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
 	defer s.Close()
 	refusalEnd := time.After(refusalPeriod)
 	ended := s.refuseUnits()
-	reserve := untilAnswerReserve(ctx)
+	reserve := unit.UntilCancel(ctx)
 	for ended != nil || refusalEnd != nil {
 		select {
 		case <-ended:
@@ -36,24 +27,13 @@
 			refusalEnd = nil
 		case <-reserve:
 			end, _ := ctx.Deadline()
-			s.cancelUnits(end.Add(-writeReserve))
+			s.cancelUnits(unit.NewStopError(end))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// untilAnswerReserve returns a channel that receives when the answer reserve of a shutdown that begins now begins. It is nil
-// if ctx has no deadline.
-func untilAnswerReserve(ctx context.Context) <-chan time.Time {
-	end, ok := ctx.Deadline()
-	if !ok {
-		return nil
-	}
-	left := time.Until(end)
-	return time.After(left - min(answerReserve, left/answerReserveDivisor))
-}
-
 // refuseUnits makes the server refuse units and returns a channel that is closed once no unit is running.
 func (s *Server) refuseUnits() (ended <-chan struct{}) {
 	s.mu.Lock()
@@ -78,11 +58,10 @@
 	return true
 }
 
-// cancelUnits cancels the running units, whose senders must have an answer before the given time. Their connections stay open
-// for the results.
-func (s *Server) cancelUnits(answerBefore time.Time) {
+// cancelUnits cancels the running units. Their connections stay open for the results.
+func (s *Server) cancelUnits(cause *unit.StopError) {
 	for _, c := range s.connections() {
-		c.cancelUnits(&unit.StopError{AnswerBefore: answerBefore})
+		c.cancelUnits(cause)
 	}
 }
 
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -209,7 +209,7 @@
 	var answer answerBuffer
 	res := c.server.opts.Executor.Execute(ctx, u, &answer)
 	if res.Err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		res.Err = c.server.cancelledByDrain(u, res)
+		res.Err = unit.CancelledByStop(c.server.opts.VMName, u, res)
 	}
 	a, rollback := c.session.ApplyResult(st, u, res, answer.messages)
 	c.rollback(rollback)
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -19,17 +19,10 @@
 	endingTransactions            // all
 )
 
-// answerReserve is the time before the end of a drain at which statements in progress are cancelled, so that their callers
-// are still told what is known of the outcome.
-const answerReserve = 500 * time.Millisecond
-
-// writeReserve is the part of answerReserve in which answers are written.
-const writeReserve = 200 * time.Millisecond
-
 // Drain ends the service within the time that ctx leaves, one minute if ctx has no deadline. It serves callers as before
 // for the drain grace, at most a third of the time, and then closes each caller that is outside a transaction. In the last
 // third of the time it also closes callers that idle in a transaction, which is rolled back. Statements in progress finish,
-// or are cancelled answerReserve before the end. It returns nil once no caller is left, or if at the end only callers are left
+// or are cancelled shortly before the end. It returns nil once no caller is left, or if at the end only callers are left
 // that have got all their answers.
 func (s *Server) Drain(ctx context.Context) error {
 	end, ok := ctx.Deadline()
@@ -47,9 +40,9 @@
 		s.logDrain("asking callers that idle in a transaction to leave", start)
 		s.enter(endingTransactions)
 	}
-	if !s.waitUntilEmpty(ctx, end.Add(-min(answerReserve, end.Sub(start)/3))) {
+	if !s.waitUntilEmpty(ctx, unit.CancelTime(start, end)) {
 		s.logDrain("cancelling statements in progress", start)
-		s.cancelUnits(&unit.StopError{AnswerBefore: end.Add(-writeReserve)})
+		s.cancelUnits(unit.NewStopError(end))
 	}
 	if s.waitUntilEmpty(ctx, end) {
 		s.logDrain("ended", start)
@@ -77,19 +70,6 @@
 	return errkind.New(errkind.Draining, "entry VM %s is stopping", s.opts.VMName)
 }
 
-// cancelledByDrain returns the error of a unit that was cancelled at the end of a drain. Its kind says what is known of the
-// unit's outcome, in place of the kind for a request that its caller has cancelled.
-func (s *Server) cancelledByDrain(u *unit.Unit, res unit.Result) error {
-	kind := errkind.ReadFailed
-	switch {
-	case res.Outcome == errkind.OutcomeNotRun:
-		kind = errkind.Draining
-	case u.Write:
-		kind = errkind.RequestOutcomeUnknown
-	}
-	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", s.opts.VMName)
-}
-
 // sleepUntil waits until the given time or until ctx ends.
 func sleepUntil(ctx context.Context, until time.Time) {
 	t := time.NewTimer(time.Until(until))
