pkg/frontend: an answer that is not complete at the deadline ends with an error and has no gap

Callers saw: "unexpected EOF" in the middle of a long read whose rest arrived after the deadline and the grace for it. Inferred, not seen at a caller: rows with bytes missing in their middle.

Cause: a write whose deadline had passed was tried all the same, failed without sending anything, and counted as a caller that does not read, which is disconnected. Later parts of the answer were still passed on after the failed one.

The sink now refuses to send after the deadline without touching the connection, so that an error can follow the whole messages that the caller has got, and passes nothing on after any error.

Evidence: TestAnswerIncompleteAtTheDeadline, before: the connection was closed, no SQLSTATE.

--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -87,7 +87,8 @@
 	c.finishUnit(cancel)
 	c.server.options.ObserveRequest(class.Name, res.Outcome, code, time.Since(start))
 	c.dropFailedParses(w.sink.namedParseCount(w.assembly.parsesUnnamed))
-	if w.sink.writeFailed || res.Err == nil && w.sink.inMessage() || !w.sink.dropPart() {
+	incomplete := w.sink.err != nil || w.sink.inMessage()
+	if w.sink.writeFailed || res.Err == nil && incomplete || !w.sink.dropPart() {
 		return false
 	}
 	if res.Err != nil {
--- a/pkg/frontend/sink.go
+++ b/pkg/frontend/sink.go
@@ -18,22 +18,26 @@
 	wholeEnd       int               // end of the last whole message in the workspace's out
 	partSent       bool              // a part of the current message, but not its end, has been sent
 	writeFailed    bool              // a write to the caller has failed
+	err            error             // why the rest of the answer is not passed on
 }
 
-// Write implements unit.Sink.
+// Write implements unit.Sink. After an error it passes nothing on, since the answer would have a gap.
 func (s *callerSink) Write(ctx context.Context, b []byte) error {
-	ended := s.trackMessages(b)
-	w := s.session.workspace
-	if len(w.out)+len(b) <= outBufferBytes {
-		s.collect(b, ended)
+	if s.err != nil {
+		return s.err
+	}
+	if len(s.session.workspace.out)+len(b) <= outBufferBytes {
+		s.collect(b, s.trackMessages(b))
 		return nil
 	}
-	deadline, _ := ctx.Deadline()
-	if err := s.send(b, ended, deadline); err != nil {
-		s.writeFailed = true
-		return err
+	deadline, ok := ctx.Deadline()
+	if ok && !time.Now().Before(deadline) { // what was sent so far can still be followed by an error
+		s.err = context.DeadlineExceeded
+		return s.err
 	}
-	return nil
+	s.err = s.send(b, s.trackMessages(b), deadline)
+	s.writeFailed = s.err != nil
+	return s.err
 }
 
 // collect appends b to the collected bytes. The last whole message ends at b[ended], or before b if ended is negative.
--- a/pkg/frontend/sink_test.go
+++ b/pkg/frontend/sink_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
@@ -76,3 +77,28 @@
 		})
 	}
 }
+
+// lateAnswer writes the end of an answer after the deadline, whatever the sink returns.
+type lateAnswer struct{ unit.Executor }
+
+func (lateAnswer) Execute(ctx context.Context, _ *unit.Unit, sink unit.Sink) unit.Result {
+	answer := rowsOf(10_000, 10_000, 10)
+	_ = sink.Write(ctx, answer[:9_000])
+	<-ctx.Done()
+	err := sink.Write(ctx, answer[9_000:20_000])
+	_ = sink.Write(ctx, answer[20_000:])
+	return unit.Failed(errkind.Wrap(errkind.ReadFailed, err, "answer could not be forwarded"))
+}
+
+// A caller whose answer is not complete at the deadline must be told so, and must not get rows with a gap in them.
+func TestAnswerIncompleteAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := New(Options{Executor: lateAnswer{}, Classes: func() ClassTable { return oneClass{} }, Services: anyService{}})
+		conn := connectByPipe(t, server)
+		results, err := conn.Exec(t.Context(), "SELECT").ReadAll()
+		require.Equal(t, errkind.ReadFailed.SQLState, sqlStateOf(err), "%v", err)
+		require.Empty(t, results[0].Rows)
+		require.NoError(t, conn.Close(t.Context()))
+		require.NoError(t, server.Drain(t.Context()))
+	})
+}
