--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -13,7 +13,7 @@
 func (c *session) runUnit() bool {
 	w := c.workspace
 	a := &w.assembly
-	w.sink = callerSink{session: c}
+	w.sink = callerSink{session: c, wholeEnd: len(w.out)}
 	switch {
 	case a.skipToSync:
 		c.failTransaction()
@@ -60,7 +60,7 @@
 }
 
 // executeUnit passes the unit to the executor. It returns false when the answer could not be written, or broke off
-// within a message.
+// within a message of which the caller has a part.
 func (c *session) executeUnit() bool {
 	w := c.workspace
 	class, err := c.fillUnit()
@@ -79,12 +79,16 @@
 	ctx, cancel := c.beginUnit(start, unitTimeout(class.Target))
 	txBefore := c.tx
 	res := c.server.runners.execute(ctx, u, &w.sink)
+	if stop := (*unit.StopError)(nil); res.Err != nil && errors.As(context.Cause(ctx), &stop) {
+		res.Err = unit.CancelledByStop(c.server.options.VMName, u, res)
+	}
 	code := observedCode(ctx, res)
 	c.adoptTransaction(u, txBefore, res)
 	c.finishUnit(cancel)
 	c.server.options.ObserveRequest(class.Name, res.Outcome, code, time.Since(start))
 	c.dropFailedParses(w.sink.namedParseCount(w.assembly.parsesUnnamed))
-	if w.sink.writeFailed || w.sink.inMessage() {
+	incomplete := w.sink.err != nil || w.sink.inMessage()
+	if w.sink.writeFailed || res.Err == nil && incomplete || !w.sink.dropPart() {
 		return false
 	}
 	if res.Err != nil {
--- a/pkg/peer/execute.go
+++ b/pkg/peer/execute.go
@@ -58,6 +58,7 @@
 		}
 		if err = f.send(ctx); err == nil {
 			defer c.unregister(f.id)
+			defer f.releaseSinkContext()
 			return f.receive(ctx)
 		}
 		c.unregister(f.id)
@@ -94,6 +95,9 @@
 	streamed  bool    // the sink has been given a part of the answer
 	creditDue int     // credit of consumed chunks that has not been returned to the owner
 	chunks    []chunk // reused by deliverChunks
+
+	streamCtx     context.Context // for all but the first write to sink; ends cancelGrace after the unit's deadline
+	stopStreamCtx context.CancelFunc
 }
 
 // send writes the Execute frame. A non-nil error means that the owner can't have received it in full.
@@ -147,7 +151,7 @@
 			}
 			if err != nil && ctxDone != nil { // the caller is gone: stop the owner, but wait for the outcome
 				f.sink = nil // discards the rest of the answer
-				ctxDone, giveUp = nil, f.cancelAtOwner(cancelGrace)
+				ctxDone, giveUp = nil, f.cancelAtOwner(unit.OutcomeWait(ctx, cancelGrace))
 			}
 		case <-ctxDone:
 			if errkind.Is(context.Cause(ctx), errkind.RequestOutcomeUnknown) { // the outcome stays unknown whatever the owner answers
@@ -155,7 +159,7 @@
 				return f.failedResult(context.Cause(ctx)), false
 			}
 			if errors.Is(ctx.Err(), context.Canceled) {
-				grace = cancelGrace
+				grace = unit.OutcomeWait(ctx, cancelGrace)
 			}
 			ctxDone, giveUp = nil, f.cancelAtOwner(grace)
 		case <-f.conn.closed:
@@ -184,8 +188,9 @@
 	for i := range f.chunks {
 		ch := &f.chunks[i]
 		if f.sink != nil && err == nil {
+			sinkCtx := f.sinkContext(ctx)
 			f.streamed = true
-			err = f.sink.Write(ctx, ch.payload)
+			err = f.sink.Write(sinkCtx, ch.payload)
 		}
 		cost := wire.ChunkCost(len(ch.payload))
 		ch.frame.Release()
@@ -202,6 +207,25 @@
 	return res, done, err
 }
 
+// sinkContext returns the context of a write to the sink. The rest of an answer that has begun, and an answer that arrives
+// after the deadline, still go to the caller within cancelGrace. The first write fits into the buffers of every sink.
+func (f *forwardedUnit) sinkContext(ctx context.Context) context.Context {
+	if !f.streamed && ctx.Err() == nil {
+		return ctx
+	}
+	if f.streamCtx == nil {
+		deadline, _ := ctx.Deadline() // Pool.Execute has set one
+		f.streamCtx, f.stopStreamCtx = context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(cancelGrace))
+	}
+	return f.streamCtx
+}
+
+func (f *forwardedUnit) releaseSinkContext() {
+	if f.stopStreamCtx != nil {
+		f.stopStreamCtx()
+	}
+}
+
 // lostResult returns the result of a unit whose connection ended before the owner answered.
 func (f *forwardedUnit) lostResult(cause error) unit.Result {
 	if !f.conn.writer.hasWritten(f.frameEnd) {
--- a/pkg/peer/serverconn.go
+++ b/pkg/peer/serverconn.go
@@ -27,6 +27,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
+	units       context.Context // parent of the contexts of units; ends before ctx in a shutdown
+	cancelUnits context.CancelCauseFunc
+
 	mu              sync.Mutex
 	running         map[uint64]*unitRun // by id of the unit
 	runningHandlers int                 // of control messages
@@ -132,7 +135,7 @@
 	}
 	full := len(c.running) >= c.server.opts.MaxUnits
 	if !full {
-		r.ctx, r.cancel = context.WithTimeout(c.ctx, x.Deadline)
+		r.ctx, r.cancel = context.WithTimeout(c.units, x.Deadline)
 		c.running[x.ID] = r
 	}
 	c.mu.Unlock()
@@ -141,8 +144,11 @@
 		c.server.startGoroutine(func() { r.sendResult(&res) })
 		return nil
 	}
+	if !c.server.beginUnit() {
+		c.refuseUnit(r)
+		return nil
+	}
 	c.server.beginUnitTx(c.session, r.unit.Tx)
-	c.server.units.Add(1)
 	c.server.workers.start(r)
 	return nil
 }
@@ -167,6 +173,9 @@
 	c := r.conn
 	defer c.server.units.Done()
 	res := r.runUnit()
+	if stop := (*unit.StopError)(nil); res.Err != nil && errors.As(context.Cause(r.ctx), &stop) {
+		res.Err = unit.CancelledByStop(c.server.opts.Self.Name, r.unit, res)
+	}
 	r.cancel()
 	c.server.endUnitTx(c.session, r.unit.Tx, res.Tx)
 	c.mu.Lock()
--- a/pkg/session/drain.go
+++ b/pkg/session/drain.go
@@ -19,20 +19,18 @@
 	endingTransactions            // all
 )
 
-// answerReserve is the time before the end of a drain at which statements in progress are cancelled, so that their callers
-// are still told what is known of the outcome.
-const answerReserve = 500 * time.Millisecond
-
 // Drain ends the service within the time that ctx leaves, one minute if ctx has no deadline. It serves callers as before
 // for the drain grace, at most a third of the time, and then closes each caller that is outside a transaction. In the last
 // third of the time it also closes callers that idle in a transaction, which is rolled back. Statements in progress finish,
-// or are cancelled answerReserve before the end. It returns nil once no caller is left.
+// or are cancelled shortly before the end. It returns nil once no caller is left, or if at the end only callers are left
+// that have got all their answers.
 func (s *Server) Drain(ctx context.Context) error {
 	end, ok := ctx.Deadline()
 	if !ok {
 		end = time.Now().Add(time.Minute)
 	}
 	start := time.Now()
+	s.drainEnd.Store(&end)
 	s.logDrain("serving as before", start)
 	sleepUntil(ctx, start.Add(min(s.opts.DrainGrace, end.Sub(start)/3)))
 	s.close()
@@ -42,9 +40,9 @@
 		s.logDrain("asking callers that idle in a transaction to leave", start)
 		s.enter(endingTransactions)
 	}
-	if !s.waitUntilEmpty(ctx, end.Add(-min(answerReserve, end.Sub(start)/3))) {
+	if !s.waitUntilEmpty(ctx, unit.CancelTime(start, end)) {
 		s.logDrain("cancelling statements in progress", start)
-		s.cancelUnits()
+		s.cancelUnits(unit.NewStopError(end))
 	}
 	if s.waitUntilEmpty(ctx, end) {
 		s.logDrain("ended", start)
@@ -52,7 +50,10 @@
 	}
 	s.logDrain("ended by its limit", start)
 	s.logUnanswered()
-	return errkind.New(errkind.Draining, "statements of %d callers are still in progress", s.Connections())
+	if n := s.countCallers().executing; n > 0 {
+		return errkind.New(errkind.Draining, "statements of %d callers are still in progress", n)
+	}
+	return nil
 }
 
 func (s *Server) close() {
@@ -69,19 +70,6 @@
 	return errkind.New(errkind.Draining, "entry VM %s is stopping", s.opts.VMName)
 }
 
-// cancelledByDrain returns the error of a unit that was cancelled at the end of a drain. Its kind says what is known of the
-// unit's outcome, in place of the kind for a request that its caller has cancelled.
-func (s *Server) cancelledByDrain(u *unit.Unit, res unit.Result) error {
-	kind := errkind.ReadFailed
-	switch {
-	case res.Outcome == errkind.OutcomeNotRun:
-		kind = errkind.Draining
-	case u.Write:
-		kind = errkind.RequestOutcomeUnknown
-	}
-	return errkind.Wrap(kind, res.Err, "entry VM %s is stopping", s.opts.VMName)
-}
-
 // sleepUntil waits until the given time or until ctx ends.
 func sleepUntil(ctx context.Context, until time.Time) {
 	t := time.NewTimer(time.Until(until))
@@ -117,9 +105,9 @@
 // enter begins a phase of the drain. Sessions that are to end and wait for a statement are woken; the others read the phase
 // before they wait.
 func (s *Server) enter(p drainPhase) {
-	s.phase.Store(int32(p))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.phase.Store(max(s.phase.Load(), int32(p)))
 	for c := range s.callers {
 		c.wake(p)
 	}
