--- a/pkg/configsync/spread.go
+++ b/pkg/configsync/spread.go
@@ -77,9 +77,9 @@
 }
 
 // requestConfig requests a peer's configuration and installs it if it is newer. It names the newest version known here, which
-// the peer notes. The reply holds the highest version that the
-// peer knows to have been in force, or 0 while the peer is not ready and so cannot vouch for any version. With an uptime it
-// also says whether the peer's copy was read after the start of this daemon.
+// the peer notes. The reply holds the highest version that the peer knows to have been in force, or 0 while the peer is not
+// ready and so cannot vouch for any version. With an uptime it also says whether the peer's copy was read after the start of
+// this daemon.
 func (s *Sync) requestConfig(ctx context.Context, vm platform.VM, uptime time.Duration) (wire.ConfigReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
