Age limits: a stated limit of 0 and an absent one are different values

Cause: the limit was a duration in which 0 meant "no limit", from the translation of the operator's document to the owner's check. A stated 0 and an absent field became one value.

Change: unit.AgeLimit keeps them apart. Its zero value states no limit; the limit 0 is held, stored and sent as the shortest limit above zero, which builds that read 0 as "no limit" enforce too. Reads that accept no age go to the confirmed primary; a limit above it that no measured age meets is kept by a primary that is confirmed, and a read transaction may begin there.

Why it works: no replica's age can meet the limit (AgeLimit.Allows), and the owner refuses what the router of another build sends to a replica.

The row "older than the class takes" of TestChecks expected that a primary that can be confirmed refuses a limit of 1 ms; it becomes three rows (a replica, a replica of age 0, a primary that cannot be confirmed), and TestConfirmedPrimaryKeepsShortLimits says what is served instead.

--- a/pkg/clusterconfig/clusterconfig.go
+++ b/pkg/clusterconfig/clusterconfig.go
@@ -71,13 +71,13 @@
 
 // Class is a class of work with a common target.
 type Class struct {
-	Name       string   `json:"name"`
-	Rank       string   `json:"rank"` // urgent, routine or batch
-	Access     Access   `json:"access"`
-	Target     Target   `json:"target"`
-	MaxAge     Duration `json:"maxAge,omitempty"`     // maximum age of the data that a read accepts; 0: no limit
-	Repeatable bool     `json:"repeatable,omitempty"` // the system may run a request more than once
-	Comment    string   `json:"comment,omitempty"`
+	Name       string        `json:"name"`
+	Rank       string        `json:"rank"` // urgent, routine or batch
+	Access     Access        `json:"access"`
+	Target     Target        `json:"target"`
+	MaxAge     unit.AgeLimit `json:"maxAge,omitzero"`      // maximum age of the data that a read accepts; absent: no limit
+	Repeatable bool          `json:"repeatable,omitempty"` // the system may run a request more than once
+	Comment    string        `json:"comment,omitempty"`
 
 	Consistency Consistency `json:"consistency,omitempty"`
 }
@@ -97,6 +97,12 @@
 	Timeout  Duration `json:"timeout"` // longest time from the arrival of a statement to its answer
 }
 
+// PrimaryReads reports whether only a confirmed primary may serve the reads of a class with AccessStatement: they must see
+// all writes acknowledged before them, by their consistency or because they accept no age.
+func (c Class) PrimaryReads() bool {
+	return c.Consistency == ConsistencyPrimary || c.MaxAge == unit.NoAge
+}
+
 // HasWriteAccess reports whether all units of the class may write.
 func (c Class) HasWriteAccess() bool { return c.Access == AccessWrite }
 
@@ -231,7 +237,7 @@
 	if c.MaxAge < 0 {
 		return fmt.Errorf("maxAge must not be negative")
 	}
-	if c.Access == AccessWrite && c.MaxAge != 0 {
+	if c.Access == AccessWrite && c.MaxAge.Stated() {
 		return fmt.Errorf("maxAge applies to read classes only")
 	}
 	return nil
--- a/pkg/configsync/spread.go
+++ b/pkg/configsync/spread.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
@@ -98,10 +100,31 @@
 	if err != nil {
 		return wire.ConfigReply{}, err
 	}
-	if len(reply.Document) > 0 {
-		err = s.installIfNewer(reply.Document)
+	if len(reply.Document) == 0 {
+		return reply, nil
 	}
-	return reply, err
+	if err := checkAgesStated(reply); err != nil {
+		return wire.ConfigReply{}, err
+	}
+	return reply, s.installIfNewer(reply.Document)
+}
+
+// checkAgesStated refuses a peer's copy in which an absent age may stand for an age of 0, because the peer's build does not
+// tell them apart. The table service has the document as its author wrote it.
+func checkAgesStated(reply wire.ConfigReply) error {
+	if reply.AgesStated {
+		return nil
+	}
+	doc, err := clusterconfig.Parse(reply.Document)
+	if err != nil {
+		return err
+	}
+	for _, c := range doc.Classes {
+		if c.Access == clusterconfig.AccessStatement && c.Consistency != clusterconfig.ConsistencyPrimary && !c.MaxAge.Stated() {
+			return errkind.New(errkind.ConfigInvalid, "the copy of a peer of an earlier build leaves the maximum age of class %q open", c.Name)
+		}
+	}
+	return nil
 }
 
 // HandleConfigRequest handles a request of wire.TypeConfigRequest. The daemon registers it with its peer.Server.
@@ -111,7 +134,7 @@
 		return nil, err
 	}
 	s.ObserveVersion(request.Have)
-	var reply wire.ConfigReply
+	reply := wire.ConfigReply{AgesStated: true}
 	reply.Current = request.Uptime > 0 && s.ensureReadWithin(ctx, request.Uptime)
 	reply.TurnedAway = request.Uptime > 0 && !reply.Current && s.wasTurnedAwayWithin(request.Uptime)
 	s.mu.Lock()
--- a/pkg/configsync/start_test.go
+++ b/pkg/configsync/start_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
 // When a fleet starts, the readers must read for the others: a large document that every VM reads fills the link between
@@ -169,3 +170,21 @@
 		})
 	})
 }
+
+// A copy of a peer of an earlier build must not be used if it leaves open whether a class accepts any age or none. Other
+// copies of such peers must be used, so that a rolling update does not depend on the table service.
+func TestCopiesOfEarlierBuilds(t *testing.T) {
+	const class = `{"version":1,"default":"c","classes":[{"name":"c","rank":"routine","access":"%s","target":{"latency":"1s","reliability":0.9}%s}]}`
+	for fields, refused := range map[[2]string]bool{
+		{"statement", `,"consistency":"bounded"`}:                true,
+		{"statement", ``}:                                        true,
+		{"statement", `,"consistency":"bounded","maxAge":"2s"`}:  false,
+		{"statement", `,"consistency":"session","maxAge":"1ns"`}: false,
+		{"statement", `,"consistency":"primary"`}:                false,
+		{"read", ``}: false,
+	} {
+		document := fmt.Appendf(nil, class, fields[0], fields[1])
+		require.Equal(t, refused, checkAgesStated(wire.ConfigReply{Document: document}) != nil, "%v", fields)
+		require.NoError(t, checkAgesStated(wire.ConfigReply{Document: document, AgesStated: true}))
+	}
+}
--- a/pkg/ctl/fleet.go
+++ b/pkg/ctl/fleet.go
@@ -101,7 +101,7 @@
 		fmt.Fprintln(w, "CLASS\tRANK\tACCESS\tLATENCY\tRELIABILITY\tMAX AGE\tQUEUED\tRUNNING\tGRANTED\tREFUSED")
 		for _, s := range list {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%v\t%d\t%d\t%d\t%d\n", s.Name, s.Rank, s.Access, time.Duration(s.Target.Latency),
-				s.Target.Reliability, time.Duration(s.MaxAge), s.Queued, s.Running, s.Granted, s.Refused)
+				s.Target.Reliability, s.MaxAge, s.Queued, s.Running, s.Granted, s.Refused)
 		}
 	})
 }
--- a/pkg/daemon/classes.go
+++ b/pkg/daemon/classes.go
@@ -24,6 +24,6 @@
 	}
 	return frontend.Class{
 		Name: c.Name, Rank: c.RankValue(), Write: c.HasWriteAccess(), Target: time.Duration(c.Target.Latency),
-		MaxAge: time.Duration(c.MaxAge), Repeatable: c.Repeatable,
+		MaxAge: c.MaxAge, Repeatable: c.Repeatable,
 	}, true
 }
--- a/pkg/frontend/options.go
+++ b/pkg/frontend/options.go
@@ -36,7 +36,7 @@
 	Rank       unit.Rank
 	Write      bool          // units of the class may write
 	Target     time.Duration // target latency
-	MaxAge     time.Duration // oldest data that a read accepts; 0: no stated age
+	MaxAge     unit.AgeLimit // oldest data that a read accepts
 	Repeatable bool
 }
 
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -164,7 +164,7 @@
 		}
 		defer o.hold.end()
 	}
-	if err := o.checkAge(u); err != nil {
+	if err := o.checkAge(ctx, u); err != nil {
 		return o.refusedResult(u, err)
 	}
 	res := o.run(context.WithValue(ctx, grantKey{}, grant), u, sink)
@@ -397,7 +397,7 @@
 
 // statusSuffices reports whether the unit need not wait for more knowledge of the member.
 func (o *Owner) statusSuffices(u *unit.Unit, m group.MemberView) bool {
-	if u.MaxAge > 0 && !m.Fresh && time.Since(o.created) < firstAgeWait {
+	if u.MaxAge.Stated() && u.MaxAge != unit.NoAge && !m.Fresh && time.Since(o.created) < firstAgeWait {
 		return false
 	}
 	return m.Known
@@ -416,7 +416,7 @@
 	if m.Leaving { // The router has not noticed this yet; it chooses another member after the refusal.
 		return errkind.New(errkind.NoMember, "member %q is leaving", o.member.Name)
 	}
-	if err := o.checkAge(u); err != nil {
+	if err := o.checkAge(ctx, u); err != nil {
 		return err
 	}
 	if o.guarantees.Position || token.CoveredBy(u.Require, m.Status.AppliedTerm, m.Status.Applied) {
@@ -432,18 +432,24 @@
 
 // checkAge refuses a read whose maximum age the member's data exceeds. Within a transaction the age at its start
 // counts, and a confirmed primary holds all that was acknowledged before the read. If the age of a primary is not good
-// enough or not known, the unit may be changed so that the primary confirms itself.
-func (o *Owner) checkAge(u *unit.Unit) error {
-	if u.Write || u.MaxAge == 0 || u.Tx.Open() || u.ConfirmPrimary {
+// enough or not known, the unit may be changed so that the primary confirms itself. A primary whose age is known but above
+// the limit is confirmed in any case, by itself or by a majority: a limit may be shorter than any age that can be measured.
+func (o *Owner) checkAge(ctx context.Context, u *unit.Unit) error {
+	if u.Write || !u.MaxAge.Stated() || u.Tx.Open() || u.ConfirmPrimary {
 		return nil
 	}
-	if m, ok := o.watcher.Member(u.Service, o.member.Name); ok && m.Fresh && m.Age <= u.MaxAge {
+	m, ok := o.watcher.Member(u.Service, o.member.Name)
+	if ok && m.Fresh && u.MaxAge.Allows(m.Age) {
 		return nil
 	}
 	if o.canConfirmItself(u) {
 		u.ConfirmPrimary = true
 		return nil
 	}
+	if ok && m.Fresh && o.checkPrimary(u.Service) == nil {
+		u.ConfirmPrimary = true
+		return o.confirmPrimary(ctx, u)
+	}
 	return errkind.New(errkind.ReadNotCovered, "data of member %q is older than the %v that the class accepts, or of unknown age", o.member.Name, u.MaxAge)
 }
 
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -152,8 +152,10 @@
 		"write without a majority":   {unit.Unit{Write: true}, func(w *fakeWatcher) { w.majority = false }, errkind.NoPrimary},
 		"unconfirmed primary":        {unit.Unit{ConfirmPrimary: true}, func(w *fakeWatcher) { w.confirmErr = errors.New("fenced") }, errkind.NoPrimary},
 		"unreachable member":         {unit.Unit{}, func(w *fakeWatcher) { w.view.Members[0].Reachable = false }, errkind.NoMember},
-		"older than the class takes": {unit.Unit{MaxAge: time.Millisecond}, func(*fakeWatcher) {}, errkind.ReadNotCovered},
-		"age is not known":           {unit.Unit{MaxAge: time.Hour}, func(w *fakeWatcher) { w.view.Members[0].Fresh = false }, errkind.ReadNotCovered},
+		"older than the class takes": {unit.Unit{MaxAge: unit.LimitAge(time.Millisecond)}, func(w *fakeWatcher) { w.view.Primary = "m2" }, errkind.ReadNotCovered},
+		"replica, no age accepted":   {unit.Unit{MaxAge: unit.NoAge}, func(w *fakeWatcher) { w.view.Primary, w.view.Members[0].Age = "m2", 0 }, errkind.ReadNotCovered},
+		"old primary, unconfirmed":   {unit.Unit{MaxAge: unit.LimitAge(time.Millisecond)}, func(w *fakeWatcher) { w.confirmErr = errors.New("fenced") }, errkind.NoPrimary},
+		"age is not known":           {unit.Unit{MaxAge: unit.LimitAge(time.Hour)}, func(w *fakeWatcher) { w.view.Members[0].Fresh = false }, errkind.ReadNotCovered},
 		"position not applied":       {unit.Unit{Require: unit.Requirement{Term: 2, Position: 11}}, func(w *fakeWatcher) { w.appliedErr = context.DeadlineExceeded }, errkind.ReadNotCovered},
 		"term not applied":           {unit.Unit{Require: unit.Requirement{Term: 3, Position: 1}}, func(w *fakeWatcher) { w.appliedErr = context.DeadlineExceeded }, errkind.ReadNotCovered},
 	} {
@@ -190,7 +192,7 @@
 			w.view.Members[0].Fresh = false
 			o := newTestOwner(t, w, p, 4)
 			o.SetGuarantees(platform.Guarantees{Primary: c.assured})
-			u := unit.Unit{Service: "s", MaxAge: time.Second, Begin: c.begin}
+			u := unit.Unit{Service: "s", MaxAge: unit.LimitAge(time.Second), Begin: c.begin}
 			res := o.Execute(context.Background(), &u, nil)
 			require.Equal(t, c.runs, p.runs)
 			require.Equal(t, c.runs == 1, u.ConfirmPrimary)
@@ -201,11 +203,29 @@
 	}
 }
 
+// A limit that no measured age meets must be kept by the primary, not refused everywhere. A transaction that begins there
+// must not lose its confirmation.
+func TestConfirmedPrimaryKeepsShortLimits(t *testing.T) {
+	for _, limit := range []unit.AgeLimit{unit.NoAge, unit.LimitAge(time.Millisecond)} {
+		for _, begin := range []bool{false, true} {
+			for _, confirmsItself := range []bool{false, true} {
+				w, p := newFakeWatcher("m1"), &fakePool{}
+				o := newTestOwner(t, w, p, 4)
+				o.SetGuarantees(platform.Guarantees{Primary: confirmsItself})
+				u := unit.Unit{Service: "s", MaxAge: limit, Begin: begin, Target: time.Second}
+				require.NoError(t, o.Execute(context.Background(), &u, nil).Err)
+				require.True(t, u.ConfirmPrimary, "limit %v, begin %v", limit, begin)
+				require.Equal(t, 1, p.runs)
+			}
+		}
+	}
+}
+
 // A read must not be refused only because the owner has just begun to watch the service.
 func TestReadWaitsForFirstStatus(t *testing.T) {
 	w, p := newFakeWatcher("m2"), &fakePool{}
 	w.knownAfter = 4
-	u := unit.Unit{Service: "s", MaxAge: 5 * time.Second, Target: time.Second}
+	u := unit.Unit{Service: "s", MaxAge: unit.LimitAge(5 * time.Second), Target: time.Second}
 	res := newTestOwner(t, w, p, 4).Execute(context.Background(), &u, nil)
 	require.NoError(t, res.Err)
 	require.Equal(t, 1, p.runs)
@@ -216,7 +236,7 @@
 func TestAgeIsCheckedWhenTheReadRuns(t *testing.T) {
 	w, p := newFakeWatcher("m2"), &fakePool{}
 	w.onWait = func() { w.view.Members[0].Age = 6 * time.Second }
-	u := unit.Unit{Service: "s", MaxAge: 5 * time.Second, Target: time.Second, Require: unit.Requirement{Term: 2, Position: 11}}
+	u := unit.Unit{Service: "s", MaxAge: unit.LimitAge(5 * time.Second), Target: time.Second, Require: unit.Requirement{Term: 2, Position: 11}}
 	res := newTestOwner(t, w, p, 4).Execute(context.Background(), &u, nil)
 	require.True(t, errkind.Is(res.Err, errkind.ReadNotCovered), "%v", res.Err)
 	require.Zero(t, p.runs)
--- a/pkg/router/candidates.go
+++ b/pkg/router/candidates.go
@@ -29,8 +29,8 @@
 // coversOnArrival reports whether the member satisfies the unit's bounds now, or is expected to when the unit arrives.
 func (c candidate) coversOnArrival() bool { return c.covers || c.catchingUp }
 
-// candidates returns the members that may serve u, best first. Only the primary may serve a write or a confirmed read.
-// For other reads, members that are expected to satisfy the bounds come first. Among these the order is: replicas in
+// candidates returns the members that may serve u, best first. Only the primary may serve a write, a confirmed read
+// or a read that accepts no age. For other reads, members that are expected to satisfy the bounds come first. Among these the order is: replicas in
 // this VM's region, nearest first, which leaves the primary's slots to writes; the primary, if it is in the region;
 // members in other regions, because traffic between regions is billed by volume. While replicas are busy, the primary's
 // slots are used before reads queue at a replica. A read with a maximum age that finds no such replica in the region
@@ -40,14 +40,13 @@
 	for _, m := range svc.Members {
 		c := assess(u, m, view, self)
 		c.busy = busy(m.Name)
-		primaryOnly := u.Write || u.ConfirmPrimary
-		if primaryOnly && !c.primary || !primaryOnly && isLeaving(m, view) {
+		if u.PrimaryOnly() && !c.primary || !u.PrimaryOnly() && isLeaving(m, view) {
 			continue
 		}
 		list = append(list, c)
 	}
 	replicaInRegion := slices.ContainsFunc(list, func(c candidate) bool { return c.coversOnArrival() && !c.primary && c.distance < otherRegion })
-	primaryLast := u.MaxAge > 0 && !replicaInRegion
+	primaryLast := u.MaxAge.Stated() && !replicaInRegion
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		if a.coversOnArrival() != b.coversOnArrival() {
 			return compareTrueFirst(a.coversOnArrival(), b.coversOnArrival())
@@ -101,7 +100,7 @@
 func assess(u *unit.Unit, m platform.Member, view group.View, self platform.VM) candidate {
 	c := candidate{member: m, distance: distance(m, self), primary: view.Primary == m.Name}
 	mv, ok := view.Member(m.Name)
-	usable := ok && mv.Reachable && (u.MaxAge == 0 || c.primary || mv.Fresh && mv.Age <= u.MaxAge)
+	usable := ok && mv.Reachable && (!u.MaxAge.Stated() || c.primary || mv.Fresh && u.MaxAge.Allows(mv.Age))
 	c.covers = usable && token.CoveredBy(u.Require, mv.Status.AppliedTerm, mv.Status.Applied)
 	c.catchingUp = usable && !c.covers && mv.Fresh && mv.Age <= catchUpAge
 	return c
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -204,8 +204,7 @@
 // the primary may serve and for which no connection to the primary could be opened: a killed primary refuses
 // connections until its loss is detected, and a retry budget would refuse nearly all writes of that time.
 func awaitsPrimary(u *unit.Unit, res unit.Result) bool {
-	primaryOnly := u.Write || u.ConfirmPrimary
-	return errkind.Is(res.Err, errkind.NoPrimary) || primaryOnly && errkind.Is(res.Err, errkind.NoMember)
+	return errkind.Is(res.Err, errkind.NoPrimary) || u.PrimaryOnly() && errkind.Is(res.Err, errkind.NoMember)
 }
 
 // tryCandidates sends the unit to the candidates, best first and each at most once, until a result is final.
@@ -263,7 +262,7 @@
 
 // noCandidateError returns the error for a unit that no member may serve.
 func noCandidateError(u *unit.Unit) error {
-	if u.Write || u.ConfirmPrimary {
+	if u.PrimaryOnly() {
 		return errkind.New(errkind.NoPrimary, "service %q has no known primary", u.Service)
 	}
 	return errkind.New(errkind.NoMember, "service %q has no member available for reads", u.Service)
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -55,13 +55,16 @@
 		"covering replica before one about to":      {unit.Unit{Require: unit.Requirement{Term: 1, Position: 9}}, view("m-far", map[string]platform.Position{"m-far": 9, "m-near": 9, "m-own": 8}), []string{"m-near", "m-own", "m-far"}},
 		"replica of the region before the primary":  {unit.Unit{}, view("m-own", all), []string{"m-near", "m-own", "m-far"}},
 		"primary before other regions":              {unit.Unit{}, unreachable(view("m-own", all), "m-near"), []string{"m-own", "m-far", "m-near"}},
-		"aged read crosses regions for a replica":   {unit.Unit{MaxAge: time.Second}, unreachable(view("m-own", all), "m-near"), []string{"m-far", "m-own", "m-near"}},
-		"aged read stays in the region":             {unit.Unit{MaxAge: time.Second}, view("m-own", all), []string{"m-near", "m-own", "m-far"}},
+		"aged read crosses regions for a replica":   {unit.Unit{MaxAge: unit.LimitAge(time.Second)}, unreachable(view("m-own", all), "m-near"), []string{"m-far", "m-own", "m-near"}},
+		"aged read stays in the region":             {unit.Unit{MaxAge: unit.LimitAge(time.Second)}, view("m-own", all), []string{"m-near", "m-own", "m-far"}},
+		"read that accepts no age":                  {unit.Unit{MaxAge: unit.NoAge}, view("m-far", all), []string{"m-far"}},
+		"no age and no primary":                     {unit.Unit{MaxAge: unit.NoAge}, view("", all), nil},
+		"age below any replica's":                   {unit.Unit{MaxAge: unit.LimitAge(time.Millisecond)}, aged(aged(view("m-far", all), "m-own", time.Second), "m-near", time.Second), []string{"m-far", "m-own", "m-near"}},
 		"write":                                     {unit.Unit{Write: true}, view("m-near", all), []string{"m-near"}},
 		"write without primary":                     {unit.Unit{Write: true}, view("", all), nil},
 		"confirmed read":                            {unit.Unit{ConfirmPrimary: true}, view("m-near", all), []string{"m-near"}},
 		"read without any view":                     {unit.Unit{}, group.View{}, []string{"m-own", "m-near", "m-far"}},
-		"read of too old a replica":                 {unit.Unit{MaxAge: time.Second}, aged(view("m-far", all), "m-own", time.Minute), []string{"m-near", "m-far", "m-own"}},
+		"read of too old a replica":                 {unit.Unit{MaxAge: unit.LimitAge(time.Second)}, aged(view("m-far", all), "m-own", time.Minute), []string{"m-near", "m-far", "m-own"}},
 		"leaving member takes none":                 {unit.Unit{}, leaving(view("m-far", all), "m-own"), []string{"m-near", "m-far"}},
 		"unreachable member is last":                {unit.Unit{}, unreachable(view("m-far", all), "m-own"), []string{"m-near", "m-far", "m-own"}},
 	} {
@@ -202,7 +205,7 @@
 	t.Run("an overloaded read stays in its region when the others are too old", func(t *testing.T) {
 		f := &fakeCluster{}
 		r := New(Options{Membership: f, Views: f})
-		u := &unit.Unit{MaxAge: time.Second}
+		u := &unit.Unit{MaxAge: unit.LimitAge(time.Second)}
 		far := svc.Members[0]
 		require.True(t, r.mayTryNext(far, u, overloadRefusal, view("m-own", nil)))
 		require.False(t, r.mayTryNext(far, u, overloadRefusal, aged(view("m-own", nil), far.Name, time.Minute)))
@@ -269,7 +272,7 @@
 func TestBusyMembersComeLater(t *testing.T) {
 	membersWhenBusy := func(busy ...string) []string {
 		isBusy := func(member string) bool { return slices.Contains(busy, member) }
-		return names(candidates(&unit.Unit{MaxAge: time.Second}, svc, view("m-own", nil), self, isBusy))
+		return names(candidates(&unit.Unit{MaxAge: unit.LimitAge(time.Second)}, svc, view("m-own", nil), self, isBusy))
 	}
 	require.Equal(t, []string{"m-near", "m-own", "m-far"}, membersWhenBusy())
 	require.Equal(t, []string{"m-own", "m-near", "m-far"}, membersWhenBusy("m-near"))
--- a/pkg/session/session.go
+++ b/pkg/session/session.go
@@ -144,7 +144,7 @@
 	}
 	s.policy, s.txStatus, s.tx = r, 'T', unit.TxRef{}
 	s.readOnly = st.Kind == KindBeginReadOnly
-	s.onPrimary = !s.readOnly || r.Class.Consistency == clusterconfig.ConsistencyPrimary
+	s.onPrimary = !s.readOnly || r.Class.PrimaryReads()
 	return s.emptyAnswer(st)
 }
 
@@ -212,13 +212,13 @@
 	if u.Write || u.Tx.Open() {
 		return u
 	}
-	switch class.Consistency {
-	case clusterconfig.ConsistencyPrimary:
+	switch {
+	case class.PrimaryReads():
 		u.ConfirmPrimary = true
-	case clusterconfig.ConsistencyBounded:
-		u.MaxAge = time.Duration(class.MaxAge)
+	case class.Consistency == clusterconfig.ConsistencyBounded:
+		u.MaxAge = class.MaxAge
 	default:
-		u.MaxAge, u.Require = time.Duration(class.MaxAge), s.lastWrites[route.Service]
+		u.MaxAge, u.Require = class.MaxAge, s.lastWrites[route.Service]
 	}
 	return u
 }
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -21,7 +21,7 @@
 
 func classWith(c clusterconfig.Consistency) clusterconfig.Class {
 	return clusterconfig.Class{Name: string(c), Rank: "routine", Access: clusterconfig.AccessStatement, Consistency: c,
-		MaxAge: clusterconfig.Duration(time.Second)}
+		MaxAge: unit.LimitAge(time.Second)}
 }
 
 func policyWith(c clusterconfig.Consistency) func() (Policy, error) {
@@ -45,8 +45,8 @@
 	written := unit.Requirement{Term: 3, Position: 40}
 	for c, want := range map[clusterconfig.Consistency]unit.Unit{
 		clusterconfig.ConsistencyPrimary: {ConfirmPrimary: true},
-		clusterconfig.ConsistencyBounded: {MaxAge: time.Second},
-		clusterconfig.ConsistencySession: {MaxAge: time.Second, Require: written},
+		clusterconfig.ConsistencyBounded: {MaxAge: unit.LimitAge(time.Second)},
+		clusterconfig.ConsistencySession: {MaxAge: unit.LimitAge(time.Second), Require: written},
 	} {
 		s := New()
 		write, _, _ := s.Plan(statement(KindWrite), policyWith(c))
--- a/pkg/unit/unit.go
+++ b/pkg/unit/unit.go
@@ -81,7 +81,7 @@
 	Begin          bool          `msgpack:"o"` // the unit opens a transaction, judged by its leading keyword
 	Repeatable     bool          `msgpack:"e"`
 	Target         time.Duration `msgpack:"g"` // target latency of the class
-	MaxAge         time.Duration `msgpack:"a"` // maximum age of the data that a read accepts; 0 means no limit
+	MaxAge         AgeLimit      `msgpack:"a"`
 	Require        Requirement   `msgpack:"q"` // from the session token
 	ConfirmPrimary bool          `msgpack:"f"` // the read must run on a primary confirmed by a majority after it started
 	IdempotencyKey string        `msgpack:"k"`
@@ -92,6 +92,9 @@
 	Values         []Value       `msgpack:"l"` // all session values, for endpoints that keep these per connection
 }
 
+// PrimaryOnly reports whether only the primary may serve the unit: it may write, or nothing may be missing from what it reads.
+func (u *Unit) PrimaryOnly() bool { return u.Write || u.ConfirmPrimary || u.MaxAge == NoAge }
+
 // Result is what is known of a unit after its execution.
 type Result struct {
 	Outcome  errkind.Outcome
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -162,16 +162,20 @@
 	Known    uint64
 
 	TurnedAway bool
+
+	// AgesStated says that the document tells a stated age of 0 from an absent one. Peers of earlier builds do not.
+	AgesStated bool
 }
 
 // ConfigReplyBody returns the encoded message in a slice of its own.
 func (e *Encoder) ConfigReplyBody(c ConfigReply) ([]byte, error) {
-	e.beginBody(5)
+	e.beginBody(6)
 	e.uint(c.Version)
 	e.bytes(c.Document)
 	e.boolean(c.Current)
 	e.uint(c.Known)
 	e.boolean(c.TurnedAway)
+	e.boolean(c.AgesStated)
 	return bytes.Clone(e.buf.Bytes()), e.err
 }
 
@@ -188,6 +192,9 @@
 	if d.r.Len() > 0 {
 		c.TurnedAway = d.uint() != 0
 	}
+	if d.r.Len() > 0 {
+		c.AgesStated = d.uint() != 0
+	}
 	return c, d.end()
 }
 
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -220,7 +220,7 @@
 		d.fail()
 	}
 	u.Rank = unit.Rank(rank)
-	u.Target, u.MaxAge = d.duration(), d.duration()
+	u.Target, u.MaxAge = d.duration(), unit.AgeLimit(d.duration())
 	u.Require = unit.Requirement{Term: platform.Term(d.uint()), Position: platform.Position(d.uint())}
 	u.IdempotencyKey = d.str()
 	u.Tx = d.txRef()
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -20,7 +20,7 @@
 func sampleExecute() *Execute {
 	return &Execute{ID: 1 << 40, Window: 65536, Deadline: 30 * time.Millisecond, Unit: unit.Unit{
 		Service: "orders-db.1", Member: "orders-db.1-a", Class: "order", Rank: unit.RankBatch, Write: true,
-		Repeatable: true, Begin: true, Target: 50 * time.Millisecond, MaxAge: time.Second,
+		Repeatable: true, Begin: true, Target: 50 * time.Millisecond, MaxAge: unit.LimitAge(time.Second),
 		Require: unit.Requirement{Term: 3, Position: 1 << 33}, ConfirmPrimary: true, IdempotencyKey: "k-1",
 		Messages: []byte("messages"), Statements: []unit.Statement{{Name: "s1", Parse: []byte("parse")}},
 		Values: []unit.Value{{Name: "v", Value: "1"}, {Name: "w", Value: ""}},
@@ -132,10 +132,10 @@
 		require.NoError(t, err)
 		require.Equal(t, want, got)
 	}
-	body, _ := e.ConfigReplyBody(ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true})
+	body, _ := e.ConfigReplyBody(ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true, AgesStated: true})
 	c, err := d.ConfigReply(body)
 	require.NoError(t, err)
-	require.Equal(t, ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true}, c)
+	require.Equal(t, ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true, AgesStated: true}, c)
 	for _, want := range []ViewRequest{{Service: "s"}, {Service: "s", Relay: true}, {Service: "s", Relay: true, Seen: 1 << 31},
 		{Service: "s", Have: 1 << 31}} {
 		body, _ = e.ViewRequestBody(want)
--- a/test/datapath/datapath_test.go
+++ b/test/datapath/datapath_test.go
@@ -66,7 +66,7 @@
 	case "orders":
 		return c.Default(), true
 	case "lookups":
-		return frontend.Class{Name: name, Rank: unit.RankRoutine, Target: time.Second, MaxAge: time.Second, Repeatable: true}, true
+		return frontend.Class{Name: name, Rank: unit.RankRoutine, Target: time.Second, MaxAge: unit.LimitAge(time.Second), Repeatable: true}, true
 	}
 	return frontend.Class{}, false
 }
--- a/test/datapath/session_test.go
+++ b/test/datapath/session_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"fmt"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"net"
 	"net/http/httptest"
 	"syscall"
@@ -45,7 +46,7 @@
 	require.Equal(t, "x", queryValue(t, c, "select x"))
 	require.True(t, p.executor.lastUnit.ConfirmPrimary, "a named session without a token must read from a confirmed primary")
 	require.False(t, p.executor.lastUnit.Write)
-	require.Equal(t, time.Second, p.executor.lastUnit.MaxAge)
+	require.Equal(t, unit.LimitAge(time.Second), p.executor.lastUnit.MaxAge)
 	requireRefused(t, c, "22023", "BEGIN READ WRITE")
 	requireRefused(t, c, "22023", "select 1; BEGIN READ WRITE; INSERT")
 	requireRefused(t, c, "22023", "SET default_transaction_read_only = off")
--- a/test/naive/naive.go
+++ b/test/naive/naive.go
@@ -214,7 +214,7 @@
 	if u.Tx.Open() {
 		return v.memberNamed(u.Tx.Member)
 	}
-	if p.opts.SpreadReads && !u.Write && u.MaxAge > 0 {
+	if p.opts.SpreadReads && !u.Write && u.MaxAge.Stated() && u.MaxAge != unit.NoAge {
 		return p.nearestMember(v)
 	}
 	return v.memberNamed(v.currentPrimary())
@@ -248,6 +248,6 @@
 	c, ok := t.config.Class(name)
 	return frontend.Class{
 		Name: c.Name, Rank: c.RankValue(), Write: c.HasWriteAccess(), Target: time.Duration(c.Target.Latency),
-		MaxAge: time.Duration(c.MaxAge), Repeatable: c.Repeatable,
+		MaxAge: c.MaxAge, Repeatable: c.Repeatable,
 	}, ok
 }
