Teams: limits of rate over all entry VMs, granted by keepers

Cause: nothing counted operations over VMs.

Change: pkg/teamlimit. A keeper for each shard of teams grants tokens that end after 250 ms; each VM is attached to one keeper at a time and brings its part of each limit, so that a split fleet has the limit once. No store, no consensus, no request for each operation of a busy team. Operations beyond the limit are refused as not run with the time to return. `sycamorehubctl teams`, GET /v1/teams, metrics, differences of teams in conflicts of configurations. docs/design/team-limits.md has the protocol, the argument why it holds, what it does not cover, and what was weighed.

Tests in virtual time. Each of these breaks fails a test: a keeper starts with a full bucket (TestKeeperGrants), the share of attached VMs is ignored (TestLimitHoldsUnderFailures), tokens never expire (TestTokensExpire), a VM turns to another keeper at once or a stamp of before a detach counts (TestOneKeeperCountsAVM).

--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -186,6 +186,12 @@
 	}
 }
 
+func (s *Server) getTeams(w http.ResponseWriter, r *http.Request) {
+	if s.requirePart(w, r, s.options.Cluster != nil, "the list of teams") {
+		writeJSON(w, http.StatusOK, s.options.Cluster.Teams())
+	}
+}
+
 func (s *Server) getGroups(w http.ResponseWriter, r *http.Request) {
 	if s.requirePart(w, r, s.options.Cluster != nil, "the list of database groups") {
 		writeJSON(w, http.StatusOK, s.options.Cluster.Groups())
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -109,6 +109,7 @@
 	api.HandleFunc("GET /v1/config/history", s.getHistory)
 	api.HandleFunc("GET /v1/status", s.getStatus)
 	api.HandleFunc("GET /v1/classes", s.getClasses)
+	api.HandleFunc("GET /v1/teams", s.getTeams)
 	api.HandleFunc("GET /v1/groups", s.getGroups)
 	api.HandleFunc("GET /v1/vms", s.getVMs)
 	api.HandleFunc("GET /v1/burn", s.getBurn)
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -40,6 +40,7 @@
 type ClusterView interface {
 	Status() Status
 	Classes() []ClassStatus
+	Teams() []TeamStatus
 	Groups() []Group
 	VMs() []VM
 }
@@ -112,6 +113,18 @@
 	Refused uint64 `json:"refused"`
 }
 
+// TeamStatus is a team with what one daemon has admitted and granted since its start. Hashes of keys are left out.
+type TeamStatus struct {
+	Name     string                   `json:"name"`
+	Priority int                      `json:"priority"`
+	Keys     int                      `json:"keys"`
+	Limit    *clusterconfig.RateLimit `json:"limit,omitempty"`
+	Admitted uint64                   `json:"admitted"`
+	Refused  uint64                   `json:"refused"`
+	Waiting  int                      `json:"waiting"`
+	Granted  uint64                   `json:"granted"` // tokens granted to all VMs by this one as the keeper of the limit
+}
+
 // Group is a service with its members as seen by this daemon.
 type Group struct {
 	Service  string        `json:"service"`
--- a/pkg/clusterconfig/clusterconfig.go
+++ b/pkg/clusterconfig/clusterconfig.go
@@ -123,7 +123,8 @@
 	KeysRequired bool   `json:"keysRequired,omitempty"`
 	Teams        []Team `json:"teams,omitempty"`
 
-	routeOf, teamOfKey map[string]int // indexes of Routes by database and of Teams by hash of a key; nil if not built
+	// Indexes of Routes by database and of Teams by hash of a key and by name; nil if not built.
+	routeOf, teamOfKey, teamAt map[string]int
 }
 
 // Route returns the route of the given database name, and whether there is one.
--- a/pkg/clusterconfig/team.go
+++ b/pkg/clusterconfig/team.go
@@ -48,6 +48,13 @@
 
 // Team returns the team with the given name.
 func (d *Document) Team(name string) (Team, bool) {
+	if d.teamAt != nil {
+		i, ok := d.teamAt[name]
+		if !ok {
+			return Team{}, false
+		}
+		return d.Teams[i], true
+	}
 	for _, t := range d.Teams {
 		if t.Name == name {
 			return t, true
@@ -62,8 +69,9 @@
 	for i, r := range d.Routes {
 		d.routeOf[r.Database] = i
 	}
-	d.teamOfKey = map[string]int{}
+	d.teamOfKey, d.teamAt = map[string]int{}, map[string]int{}
 	for i, t := range d.Teams {
+		d.teamAt[t.Name] = i
 		for _, k := range t.Keys {
 			d.teamOfKey[k] = i
 		}
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -52,6 +52,7 @@
 			t.configCommand(),
 			t.command("status", "", "state of every daemon", t.status),
 			t.command("classes", "", "classes of work, their targets and present load", t.classes),
+			t.command("teams", "", "teams, their limits and what all daemons have admitted and refused", t.teams),
 			t.command("groups", "", "services, their primaries and members", t.groups),
 			t.command("vms", "", "entry VMs as seen by one daemon", t.vms),
 			t.command("drain", "VM", "gracefully shut down the daemon of a VM", t.drain),
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -37,6 +37,7 @@
 
 // daemon is the daemon of one VM of the cluster.
 type daemon struct {
+	teams []admin.TeamStatus
 	*cluster
 	name    string
 	version uint64 // installed version; 0 means the stored one
@@ -94,6 +95,7 @@
 	return s
 }
 func (d *daemon) Classes() []admin.ClassStatus      { return nil }
+func (d *daemon) Teams() []admin.TeamStatus         { return d.teams }
 func (d *daemon) Groups() []admin.Group             { return nil }
 func (d *daemon) VMs() []admin.VM                   { return d.vms }
 func (d *daemon) Drain()                            { d.drained = append(d.drained, d.name) }
@@ -265,3 +267,24 @@
 	require.Equal(t, ExitFailure, code)
 	require.Contains(t, out, `request "none"`)
 }
+
+// The list of teams must add up what all daemons have admitted, and say which daemons are missing. A change of a team must be
+// shown without its keys.
+func TestTeams(t *testing.T) {
+	c, daemons := newCluster(t, "a", "b")
+	c.vms = append(c.vms, admin.VM{Name: "c", AdminAddr: unreachableAddr})
+	limit := &clusterconfig.RateLimit{PerSecond: 35, Burst: 40}
+	daemons[0].teams = []admin.TeamStatus{{Name: "crew", Keys: 2, Limit: limit, Admitted: 3, Refused: 1, Granted: 9}, {Name: "office"}}
+	daemons[1].teams = []admin.TeamStatus{{Name: "crew", Keys: 2, Limit: limit, Admitted: 4}}
+	code, out := c.run(t, "teams")
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, "c does not answer")
+	require.Regexp(t, `crew +0 +2 +35 +40 +7 +1 +0 +9 +a`, out)
+	require.Regexp(t, `office +0 +0 +- +-`, out)
+
+	from := &clusterconfig.Document{KeysRequired: true, Teams: []clusterconfig.Team{{Name: "crew", Keys: []string{"hash-1", "hash-2"}, Limit: limit}, {Name: "gone"}}}
+	to := &clusterconfig.Document{KeysRequired: true, Teams: []clusterconfig.Team{{Name: "crew", Keys: []string{"hash-2", "hash-3"}}, {Name: "new"}}}
+	require.Equal(t, []string{"team crew: keys: 1 added, 1 withdrawn", "team crew: limit: 35 a second, burst 40 -> none", "team gone: removed", "team new: added"},
+		Diff(from, to))
+	require.Equal(t, []string{"keys of teams: required -> not required", "team crew: removed", "team new: removed"}, Diff(to, &clusterconfig.Document{}))
+}
--- a/pkg/ctl/diff.go
+++ b/pkg/ctl/diff.go
@@ -10,7 +10,7 @@
 )
 
 // Diff lists the changes from one document to another, with one line for each class that was added or removed and one
-// for each changed value.
+// for each changed value, and the same for teams.
 func Diff(from, to *clusterconfig.Document) []string {
 	var lines []string
 	if from.Default != to.Default {
@@ -31,9 +31,66 @@
 		}
 		lines = append(lines, diffValues(name, flattenClass(before), after)...)
 	}
+	return append(lines, diffTeams(from, to)...)
+}
+
+// diffTeams lists the changes of teams. Of keys only numbers are shown.
+func diffTeams(from, to *clusterconfig.Document) []string {
+	var lines []string
+	if from.KeysRequired != to.KeysRequired {
+		text := map[bool]string{true: "required", false: "not required"}
+		lines = append(lines, fmt.Sprintf("keys of teams: %s -> %s", text[from.KeysRequired], text[to.KeysRequired]))
+	}
+	names := map[string]bool{}
+	for _, t := range slices.Concat(from.Teams, to.Teams) {
+		names[t.Name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		before, was := from.Team(name)
+		after, is := to.Team(name)
+		switch {
+		case !is:
+			lines = append(lines, fmt.Sprintf("team %s: removed", name))
+		case !was:
+			lines = append(lines, fmt.Sprintf("team %s: added", name))
+		default:
+			lines = append(lines, diffTeam(before, after)...)
+		}
+	}
+	return lines
+}
+
+func diffTeam(before, after clusterconfig.Team) (lines []string) {
+	added, withdrawn := countMissing(after.Keys, before.Keys), countMissing(before.Keys, after.Keys)
+	if added+withdrawn > 0 {
+		lines = append(lines, fmt.Sprintf("team %s: keys: %d added, %d withdrawn", after.Name, added, withdrawn))
+	}
+	if from, to := limitText(before.Limit), limitText(after.Limit); from != to {
+		lines = append(lines, fmt.Sprintf("team %s: limit: %s -> %s", after.Name, from, to))
+	}
+	if before.Priority != after.Priority {
+		lines = append(lines, fmt.Sprintf("team %s: priority: %d -> %d", after.Name, before.Priority, after.Priority))
+	}
 	return lines
 }
 
+// countMissing returns how many of the keys are not among others.
+func countMissing(keys, others []string) (n int) {
+	for _, k := range keys {
+		if !slices.Contains(others, k) {
+			n++
+		}
+	}
+	return n
+}
+
+func limitText(l *clusterconfig.RateLimit) string {
+	if l == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%g a second, burst %g", l.PerSecond, l.Burst)
+}
+
 func classesByName(d *clusterconfig.Document) map[string]clusterconfig.Class {
 	m := map[string]clusterconfig.Class{}
 	for _, c := range d.Classes {
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -18,6 +18,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
+	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 )
 
 // drainer implements admin.Drainer: it starts the graceful shutdown on an operator's request.
@@ -45,6 +46,7 @@
 			started: time.Now(), configSync: configSync,
 			vmView: kernel.MustLookup[*membership.View](k, nameMembership), directory: kernel.MustLookup[*directory.Directory](k, nameDirectory),
 			viewCache: kernel.MustLookup[*router.ViewCache](k, nameViews), owners: kernel.MustLookup[*owner.Set](k, nameOwners),
+			teamLimits:        kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits),
 			callerConnections: func() int { return callerConnections(k) },
 		},
 	}), nil
--- a/pkg/daemon/adminview.go
+++ b/pkg/daemon/adminview.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/ownership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
+	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 )
 
 // Version is the version of the program. Release builds set it with -ldflags.
@@ -29,6 +30,7 @@
 	viewCache  *router.ViewCache
 	owners     *owner.Set
 	configSync *configsync.Sync
+	teamLimits *teamlimit.Service
 	// callerConnections returns the number of open connections of callers.
 	callerConnections func() int
 }
@@ -76,6 +78,32 @@
 	return out
 }
 
+// Teams returns the teams with what this daemon has admitted, and granted as a keeper.
+func (a adminView) Teams() []admin.TeamStatus {
+	doc := a.configSync.Installed()
+	if doc == nil {
+		return nil
+	}
+	out := make([]admin.TeamStatus, len(doc.Teams))
+	index := map[string]*admin.TeamStatus{}
+	for i, t := range doc.Teams {
+		out[i] = admin.TeamStatus{Name: t.Name, Priority: t.Priority, Keys: len(t.Keys), Limit: t.Limit}
+		index[t.Name] = &out[i]
+	}
+	spent, granted := a.teamLimits.Use()
+	for _, u := range spent {
+		if t := index[u.Team]; t != nil {
+			t.Admitted, t.Refused, t.Waiting = u.Admitted, u.Refused, u.Waiting
+		}
+	}
+	for _, u := range granted {
+		if t := index[u.Team]; t != nil {
+			t.Granted += u.Granted
+		}
+	}
+	return out
+}
+
 // Groups returns all services as this daemon sees them.
 func (a adminView) Groups() []admin.Group {
 	ctx, cancel := context.WithTimeout(context.Background(), groupsTimeout)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -36,6 +36,7 @@
 	nameOwners      = "owners"
 	namePeerServer  = "peer-server"
 	nameConfig      = "config"
+	nameTeamLimits  = "team-limits"
 	nameViews       = "views"
 	nameRouter      = "router"
 	nameBurn        = "burn"
@@ -123,6 +124,7 @@
 		{Name: namePause, New: newPause},
 		{Name: nameOwners, New: newOwners},
 		{Name: nameConfig, New: newConfig},
+		{Name: nameTeamLimits, New: newTeamLimits},
 		{Name: namePeerServer, New: newPeerServer},
 		{Name: nameViews, New: newViews},
 		{Name: nameRouter, New: newRouter},
--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/router"
 	"github.com/sycamorehub/sycamorehub/pkg/session"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
+	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
@@ -47,6 +48,7 @@
 			VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
 			DrainGrace:     time.Duration(s.Limits.DrainGrace),
 			ObserveRequest: kernel.MustLookup[*unitMetrics](k, nameUnitMetrics).observe,
+			Admit:          kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits).Admit,
 			RecordFailure:  kernel.MustLookup[*requestlog.Log](k, nameRequestLog).Add,
 		})
 		return c, nil
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -12,6 +14,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
+	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 )
 
 const (
@@ -54,6 +57,10 @@
 	descMemberPollBytes   = desc("member_poll_bytes_total", "Estimated bytes of control traffic with members.")
 	descHeartbeats        = desc("heartbeats_total", "Heartbeats sent.")
 	descPanics            = desc("unexpected_errors_total", "Panics that ended one session, request or read of this daemon.")
+	descTeamAdmitted      = desc("team_limit_admitted_total", "Operations admitted within the limits of their teams.")
+	descTeamRefused       = desc("team_limit_refused_total", "Operations refused beyond the limits of their teams.")
+	descTeamGranted       = desc("team_limit_granted_total", "Tokens granted to entry VMs as a keeper of limits.")
+	descTeamShare         = desc("team_limit_share", "Part of all limits that this VM holds as the keeper of a shard, 0 to 1.", "shard")
 	descConfigStoreReads  = desc("config_store_reads_total", "Reads of the configuration row.")
 )
 
@@ -93,6 +100,7 @@
 	c.collectPeers(counter)
 	c.collectQueues(gauge, counter)
 	c.collectStartups(gauge, counter)
+	c.collectTeams(gauge, counter)
 	configSync := kernel.MustLookup[*configsync.Sync](c.k, nameConfig)
 	version := configSync.InForce()
 	gauge(descConfigVersion, float64(version))
@@ -113,6 +121,25 @@
 	counter(descMemberPollBytes, watcherStats.Bytes)
 }
 
+// collectTeams reports sums over all teams; GET /v1/teams has them by team.
+func (c collector) collectTeams(gauge gaugeFunc, counter counterFunc) {
+	limits := kernel.MustLookup[*teamlimit.Service](c.k, nameTeamLimits)
+	spent, granted := limits.Use()
+	var admitted, refused, tokens uint64
+	for _, u := range spent {
+		admitted, refused = admitted+u.Admitted, refused+u.Refused
+	}
+	for _, u := range granted {
+		tokens += u.Granted
+	}
+	counter(descTeamAdmitted, admitted)
+	counter(descTeamRefused, refused)
+	counter(descTeamGranted, tokens)
+	for shard := range teamlimit.Shards {
+		gauge(descTeamShare, limits.Share(shard), strconv.Itoa(shard))
+	}
+}
+
 func (c collector) collectStartups(gauge gaugeFunc, counter counterFunc) {
 	callers, err := kernel.Lookup[*callers](c.k, nameFrontend)
 	if err != nil {
--- a/pkg/daemon/serve.go
+++ b/pkg/daemon/serve.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
+	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
@@ -77,6 +78,7 @@
 	p.server.Handle(wire.TypeListsRequest, listsHandler(k))
 	p.server.Handle(wire.TypeViewRequest, viewHandler(kernel.MustLookup[watcher](k, nameWatcher)))
 	p.server.Handle(wire.TypeConfigRequest, kernel.MustLookup[*configsync.Sync](k, nameConfig).HandleConfigRequest)
+	p.server.Handle(wire.TypeTeamLimit, kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits).Handle)
 	return p, nil
 }
 
--- /dev/null
+++ b/pkg/daemon/teams.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
+	"github.com/sycamorehub/sycamorehub/pkg/configsync"
+	"github.com/sycamorehub/sycamorehub/pkg/kernel"
+	"github.com/sycamorehub/sycamorehub/pkg/membership"
+	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/settings"
+	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
+)
+
+func newTeamLimits(k *kernel.Kernel) (any, error) {
+	configSync := kernel.MustLookup[*configsync.Sync](k, nameConfig)
+	vmView := kernel.MustLookup[*membership.View](k, nameMembership)
+	pool := kernel.MustLookup[*peers](k, namePeers)
+	return teamlimit.New(teamlimit.Options{
+		Self:   kernel.MustLookup[*settings.Settings](k, nameSettings).VM,
+		Live:   vmView.Live,
+		Listed: func() ([]platform.VM, bool) { return vmView.Listed(), vmView.Ready() },
+		Request: func(ctx context.Context, vm platform.VM, body []byte) ([]byte, error) {
+			return pool.Request(ctx, vm, wire.TypeTeamLimit, body)
+		},
+		Document: func() *clusterconfig.Document { return documentInForce(configSync) },
+		Log:      logger(k, nameTeamLimits),
+	}), nil
+}
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -52,6 +52,7 @@
 	ReadNotCovered        = Kind{"read_not_covered", "40001", OutcomeNotRun, "retry; no reachable member's data is recent enough yet for the session token or maximum age"}
 	ReadFailed            = Kind{"read_failed", "40001", OutcomeUnknown, "retry the read"}
 	UnknownKey            = Kind{"unknown_key", "28P01", OutcomeNotRun, "present a key that the configuration in force gives to a team"}
+	RateLimited           = Kind{"rate_limited", "53400", OutcomeNotRun, "retry after the stated time, or raise the limit of the team"}
 	BadToken              = Kind{"bad_token", "22023", OutcomeNotRun, "pass the latest value of sycamorehub.token unchanged, or none"}
 	UnknownClass          = Kind{"unknown_class", "22023", OutcomeNotRun, "use a class listed by `sycamorehubctl classes`"}
 	UnknownService        = Kind{"unknown_service", "3D000", OutcomeNotRun, "use a service or database listed by `sycamorehubctl groups`"}
@@ -126,5 +127,5 @@
 var allKinds = []Kind{
 	Overload, NoPrimary, Draining, NotReady, NoMember, PeerUnreachable, RequestOutcomeUnknown, ReadNotCovered, ReadFailed, BadToken, UnknownStatement,
 	UnknownClass, UnknownService, BadParameter, ProtocolViolation, Unsupported, TransactionLost, Cancelled, DeadlineExceeded,
-	ConfigInvalid, ConfigConflict, StoreUnavailable, StoreOutcomeUnknown, SettingsInvalid, TooManyConnections, Internal, UnknownKey,
+	ConfigInvalid, ConfigConflict, StoreUnavailable, StoreOutcomeUnknown, SettingsInvalid, TooManyConnections, Internal, UnknownKey, RateLimited,
 }
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 )
@@ -92,6 +93,15 @@
 	return best
 }
 
+// Keeper returns the VM that keeps the limits of a shard of teams. It returns false if no VM is live.
+func Keeper(shard int, live []platform.VM) (platform.VM, bool) {
+	i := highestScoring("team-limits/"+strconv.Itoa(shard), live, func(*platform.VM) bool { return true })
+	if i < 0 {
+		return platform.VM{}, false
+	}
+	return live[i], true
+}
+
 // StoreReaders returns the VMs of a data centre that poll the table service.
 func StoreReaders(dc string, live []platform.VM) []platform.VM {
 	return firstRanked(StoreReadersPerDataCentre, "readers/"+dc, inDataCentre(dc, live))
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -197,6 +197,12 @@
 // answerStatement returns the answer to one statement, and records the error of a statement that failed.
 func (c *callerSession) answerStatement(st Statement) Answer {
 	start := time.Now()
+	if err := c.admit(st); err != nil {
+		a := c.session.emptyAnswer(st)
+		a.Err = err
+		c.recordFailure(st, a, start)
+		return a
+	}
 	u, a, rollback := c.session.Plan(st, c.currentPolicy)
 	c.rollback(rollback)
 	if u != nil {
@@ -208,6 +214,20 @@
 	return a
 }
 
+// admit refuses a statement that begins an operation beyond the limit of the caller's team. A wait for the limit takes at most
+// a fifth of the class's target, and one for the decision at most half of the statement's time.
+func (c *callerSession) admit(st Statement) error {
+	if !c.session.BeginsOperation(st) {
+		return nil
+	}
+	p, err := c.currentPolicy()
+	if err != nil || p.Team.Limit == nil {
+		return nil // Plan refuses a statement without a policy
+	}
+	c.session.policy = p
+	return c.server.opts.Admit(c.server.units, p.Team, time.Duration(p.Class.Target.Latency)/5, time.Duration(p.Route.Timeout)/2)
+}
+
 // execute runs the unit with its target as the deadline, updates the session with the result and returns the answer.
 func (c *callerSession) execute(st Statement, u *unit.Unit, start time.Time) Answer {
 	u.Arrived = start
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -51,6 +51,9 @@
 	// DrainGrace is how long a draining server still accepts callers, so that the balancer stops sending callers before
 	// the server refuses them.
 	DrainGrace time.Duration
+	// Admit decides whether an operation of the team, a statement or a transaction, may run now. It waits up to limit for the
+	// decision, and up to patience for the team's rate limit. Nil admits every operation.
+	Admit func(ctx context.Context, team clusterconfig.Team, patience, limit time.Duration) error
 	// ObserveRequest is called after each request that was executed as a unit.
 	ObserveRequest func(class string, outcome errkind.Outcome, code string, latency time.Duration)
 	// RecordFailure is called for each statement that failed and each session that was refused. It must not block.
@@ -79,6 +82,9 @@
 
 // NewServer returns a server that listens nowhere yet.
 func NewServer(o Options) *Server {
+	if o.Admit == nil {
+		o.Admit = func(context.Context, clusterconfig.Team, time.Duration, time.Duration) error { return nil }
+	}
 	s := &Server{opts: o, callers: map[*callerSession]struct{}{}, callerLeft: make(chan struct{})}
 	s.units, s.cancelUnits = context.WithCancelCause(context.Background())
 	return s
--- a/pkg/session/session.go
+++ b/pkg/session/session.go
@@ -49,6 +49,18 @@
 // Idle reports whether no transaction is open.
 func (s *Session) Idle() bool { return s.txStatus == 'I' }
 
+// BeginsOperation reports whether the statement is one outside a transaction or begins one.
+func (s *Session) BeginsOperation(st Statement) bool {
+	if s.txStatus != 'I' || s.lossUnreported {
+		return false
+	}
+	switch st.Kind {
+	case KindBegin, KindBeginReadOnly, KindRead, KindWrite, KindExecute:
+		return true
+	}
+	return false
+}
+
 // Abandon gives up the open transaction and returns its reference, which is not open if no member holds the transaction.
 // The caller of Abandon rolls it back. Unless the transaction had already failed, the next statement of the session is
 // answered with its loss.
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -52,10 +52,11 @@
 	TypeViewRequest
 	TypeCancelKey
 	TypeListsRequest
+	TypeTeamLimit
 )
 
 // IsRequest reports whether the type is answered by a Reply from a registered handler.
-func (t Type) IsRequest() bool { return t >= TypeHeartbeat && t <= TypeListsRequest }
+func (t Type) IsRequest() bool { return t >= TypeHeartbeat && t <= TypeTeamLimit }
 
 // Frame is one received frame. The Body of a Chunk stays valid until Release. The Body of an Execute, a Reply or a request
 // belongs to the receiver. Any other Body stays valid until the next call of Reader.Next.
