Scheduler: teams share a member that is short of slots

Load pattern: one team sends many times its usual and takes the places of the others in each queue of a member; a limit of its rate does not help while the member is slower than the sum of the limits.

Change: a unit is beyond if its team has used and queued more than the team's part of the member, by the limits of the teams that use it now. Such units wait behind the others of their rank, by the priority of their teams, and run when nobody else waits. Predictions count accordingly.

--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -176,6 +176,7 @@
 	}
 	o := owner.New(self, m, newPool, sched, kernel.MustLookup[watcher](k, nameWatcher))
 	o.SetGuarantees(e.Guarantees)
+	o.SetTeams(teamsForScheduler(k))
 	o.RefuseUnless(kernel.MustLookup[*pause.Guard](k, namePause).UpToDate)
 	return o
 }
--- a/pkg/daemon/teams.go
+++ b/pkg/daemon/teams.go
@@ -8,6 +8,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/scheduler"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
 	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
@@ -28,3 +29,23 @@
 		Log:      logger(k, nameTeamLimits),
 	}), nil
 }
+
+// teamsForScheduler returns a function that describes a team by the configuration in force: teams share a member in proportion
+// to their limits.
+func teamsForScheduler(k *kernel.Kernel) func(name string) scheduler.Team {
+	return func(name string) scheduler.Team {
+		team := scheduler.Team{Name: name}
+		configSync, err := kernel.Lookup[*configsync.Sync](k, nameConfig)
+		if err != nil {
+			return team // the first owners are built before the configuration
+		}
+		if doc := documentInForce(configSync); doc != nil {
+			t, _ := doc.Team(name)
+			team.Priority = t.Priority
+			if t.Limit != nil {
+				team.Weight = t.Limit.PerSecond
+			}
+		}
+		return team
+	}
+}
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -95,6 +95,7 @@
 	hold         writeHold
 	listsCurrent func() bool // nil means always
 	guarantees   platform.Guarantees
+	teams        func(name string) scheduler.Team // nil: only names are known
 	ackTime      ackTime
 	created      time.Time
 	cancel       context.CancelFunc
@@ -126,6 +127,17 @@
 // must be called before the first unit.
 func (o *Owner) RefuseUnless(upToDate func() bool) { o.listsCurrent = upToDate }
 
+// SetTeams sets what is known of teams in the configuration in force. It must be called before the first unit.
+func (o *Owner) SetTeams(teams func(name string) scheduler.Team) { o.teams = teams }
+
+// teamOf returns the scheduler's description of a team.
+func (o *Owner) teamOf(name string) scheduler.Team {
+	if name == "" || o.teams == nil {
+		return scheduler.Team{Name: name}
+	}
+	return o.teams(name)
+}
+
 // SetGuarantees sets what the platform of the member guarantees by itself. It must be called before the first unit.
 func (o *Owner) SetGuarantees(g platform.Guarantees) { o.guarantees = g }
 
@@ -209,7 +221,7 @@
 	}
 	return scheduler.Request{
 		Class: u.Class, Rank: u.Rank, Target: target, Deadline: deadline,
-		Arrived:        u.Arrived,
+		Arrived: u.Arrived, Team: o.teamOf(u.Team),
 		NewTransaction: u.Begin && !u.Tx.Open(), InTransaction: u.Tx.Open(),
 	}
 }
--- a/pkg/scheduler/class.go
+++ b/pkg/scheduler/class.go
@@ -61,7 +61,8 @@
 	rank         unit.Rank
 	target       time.Duration
 	queues       [kindCount]dueHeap
-	latestDue    time.Duration // latest due time of all units queued so far
+	beyondQueued [kindCount]int // queued units that are beyond the parts of their teams
+	latestDue    time.Duration  // latest due time of all units queued so far
 	runningCount int
 	serviceTime  durationEstimate
 
@@ -103,19 +104,24 @@
 // isIdle reports whether the class has neither running nor queued units, so that its state may be dropped.
 func (c *class) isIdle() bool { return c.runningCount == 0 && c.queuedCount() == 0 }
 
-// estimateQueuedBefore estimates how many queued units of the class are due no later than due. It assumes that due
-// times are spread evenly between the first and the latest one, so that no ordered index is needed. Statements of open
-// transactions all count, because they go first within the rank.
-func (c *class) estimateQueuedBefore(due time.Duration) float64 {
+// estimateQueuedBefore estimates how many queued units of the class go before su. It assumes that due times are spread evenly
+// between the first and the latest one, so that no ordered index is needed. Statements of open transactions all count,
+// because they go first within the rank. Units beyond the parts of their teams go before others of these only, and all of
+// them count.
+func (c *class) estimateQueuedBefore(su *ScheduledUnit) float64 {
 	n := float64(len(c.queues[kindInTransaction]))
 	for k := kindStandalone; k <= kindNewTransaction; k++ {
-		head := c.queues[k].peek()
-		switch {
-		case head == nil || head.due > due:
-		case c.latestDue <= due || c.latestDue <= head.due:
+		if su.beyond {
 			n += float64(len(c.queues[k]))
+			continue
+		}
+		head, queued := c.queues[k].peek(), float64(len(c.queues[k])-c.beyondQueued[k])
+		switch {
+		case head == nil || head.beyond || head.due > su.due:
+		case c.latestDue <= su.due || c.latestDue <= head.due:
+			n += queued
 		default:
-			n += float64(len(c.queues[k])) * float64(due-head.due) / float64(c.latestDue-head.due)
+			n += queued * float64(su.due-head.due) / float64(c.latestDue-head.due)
 		}
 	}
 	return n
--- a/pkg/scheduler/doc.go
+++ b/pkg/scheduler/doc.go
@@ -4,5 +4,6 @@
 //
 // Units are ordered as follows. A class that has used less than its guaranteed share of slot time goes first.
 // Otherwise a higher rank goes before a lower one. Within a rank, statements of open transactions go before other
-// units, because they already hold a connection. Remaining ties are decided by the earliest due time.
+// units, because they already hold a connection, and units of teams that have used more than their part of the member go
+// last. Remaining ties are decided by the earliest due time.
 package scheduler
--- a/pkg/scheduler/expire.go
+++ b/pkg/scheduler/expire.go
@@ -24,6 +24,7 @@
 					break
 				}
 				c.queues[k].remove(head)
+				head.noteDequeued()
 				p.expireUnit(now, head)
 			}
 		}
--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -26,6 +26,7 @@
 	nextSequence        uint64
 	classes             []*class
 	running             []*ScheduledUnit
+	teams               map[string]*teamUsage
 	openTransactions    [unit.RankCount]int // number of open transactions per rank
 	transactionDuration durationEstimate    // how long a transaction stays open
 	refusals            []Refusal           // queued units refused by Next or Expire and not yet taken by TakeRefused
@@ -42,7 +43,7 @@
 // NewPolicy returns a policy that counts time from epoch. Limits below 1 are raised to 1.
 func NewPolicy(l Limits, epoch time.Time) *Policy {
 	l.Slots, l.Transactions, l.MaxQueue = max(l.Slots, 1), max(l.Transactions, 1), max(l.MaxQueue, 1)
-	return &Policy{limits: l, epoch: epoch}
+	return &Policy{limits: l, epoch: epoch, teams: map[string]*teamUsage{}}
 }
 
 // offset converts a time to an offset from the epoch.
@@ -66,11 +67,14 @@
 		su.due = arrived + r.Target
 	}
 	su.due = min(su.due, su.deadline)
+	su.team, su.work, su.priority = p.teamOf(r.Team, now), c.serviceTime.mean, r.Team.Priority
+	su.beyond = su.kind != kindInTransaction && p.isBeyond(su.team, su.work, now)
 	if err := p.admit(now, su, &r); err != nil {
 		return nil, err
 	}
 	c.latestDue = max(c.latestDue, su.due)
 	c.queues[su.kind].push(su)
+	su.noteQueued()
 	return su, nil
 }
 
@@ -138,6 +142,7 @@
 			return nil
 		}
 		su.class.queues[su.kind].remove(su)
+		su.noteDequeued()
 		if err := p.errIfTooLate(now, su); err != nil {
 			p.refuse(su, err)
 			continue
@@ -254,6 +259,10 @@
 	c.chargedUsage = min(c.chargedUsage, maxChargeFactor*p.guaranteedSlots(c, backlog)*usageTimeConstant.Seconds())
 	c.runningCount++
 	c.granted++
+	if su.team != nil {
+		su.team.update(now)
+		su.team.running++
+	}
 	su.state, su.started, su.index = stateRunning, now, len(p.running)
 	p.running = append(p.running, su)
 	if su.kind == kindNewTransaction {
@@ -274,6 +283,10 @@
 	c := su.class
 	c.updateUsage(now)
 	c.runningCount--
+	if su.team != nil {
+		su.team.update(now)
+		su.team.running--
+	}
 	c.serviceTime.add(now - su.started)
 	su.state = stateDone
 	last := len(p.running) - 1
@@ -305,6 +318,7 @@
 		return false
 	}
 	su.class.queues[su.kind].remove(su)
+	su.noteDequeued()
 	su.class.cancelled++
 	su.state = stateDone
 	return true
--- a/pkg/scheduler/policy_test.go
+++ b/pkg/scheduler/policy_test.go
@@ -42,6 +42,7 @@
 		Rank:  unit.Rank(rapid.IntRange(0, 2).Draw(m.t, "rank")),
 	}
 	r.Target = time.Duration(rapid.IntRange(0, 200).Draw(m.t, "target")) * time.Millisecond
+	r.Team = rapid.SampledFrom([]Team{{}, {Name: "t", Weight: 3}, {Name: "u", Weight: 1, Priority: 1}, {Name: "v"}}).Draw(m.t, "team")
 	if d := rapid.IntRange(0, 300).Draw(m.t, "deadline"); d > 0 {
 		r.Deadline = m.now.Add(time.Duration(d) * time.Millisecond)
 	}
--- a/pkg/scheduler/predict.go
+++ b/pkg/scheduler/predict.go
@@ -60,7 +60,7 @@
 			queuedWork += float64(c.queuedCount()) * c.serviceTime.mean
 			takenSlots += c.usage / usageTimeConstant.Seconds()
 		case c.rank == ownClass.rank:
-			queuedWork += c.estimateQueuedBefore(su.due) * c.serviceTime.mean
+			queuedWork += c.estimateQueuedBefore(su) * c.serviceTime.mean
 			if c != ownClass && c.target < ownClass.target {
 				takenSlots += c.usage / usageTimeConstant.Seconds()
 			}
@@ -77,7 +77,7 @@
 func (p *Policy) waitByShare(su *ScheduledUnit, untilFree []float64, backlog [unit.RankCount]int) float64 {
 	c := su.class
 	slots := p.guaranteedSlots(c, backlog)
-	wait := untilFree[0] + c.estimateQueuedBefore(su.due)*c.serviceTime.mean/slots
+	wait := untilFree[0] + c.estimateQueuedBefore(su)*c.serviceTime.mean/slots
 	if overuse := c.chargedUsage / (slots * usageTimeConstant.Seconds()); overuse > 1 {
 		wait += usageTimeConstant.Seconds() * math.Log(min(overuse, maxChargeFactor))
 	}
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -14,6 +14,7 @@
 	Deadline       time.Time     // the unit is refused if it has not started by then; zero: no deadline
 	NewTransaction bool          // the unit opens a transaction and needs its own connection
 	InTransaction  bool          // the unit belongs to an open transaction, which already holds a connection
+	Team           Team          // whose unit it is
 	Arrived        time.Time     // when the caller's request reached the system; zero: the time of Enqueue
 }
 
@@ -61,6 +62,10 @@
 	due           time.Duration // earlier of target and deadline; farFuture: none
 	deadline      time.Duration // farFuture: none
 	started       time.Duration
+	team          *teamUsage // nil: no team
+	work          float64    // expected service time in seconds
+	beyond        bool       // its team has used more than its part of the member
+	priority      int        // of its team, among units that are beyond
 
 	waiter *waiter // set by Scheduler while its caller waits
 }
@@ -68,9 +73,15 @@
 // Class returns the name of the unit's class.
 func (su *ScheduledUnit) Class() string { return su.class.name }
 
-// dueBefore reports whether su precedes o, a unit of the same queue kind and rank: by due time, then by order of
-// arrival.
+// dueBefore reports whether su precedes o, a unit of the same queue kind and rank: units that are beyond the parts of their
+// teams come last, by the priority of their teams. Within these groups units go by due time, then by order of arrival.
 func (su *ScheduledUnit) dueBefore(o *ScheduledUnit) bool {
+	if su.beyond != o.beyond {
+		return o.beyond
+	}
+	if su.beyond && su.priority != o.priority {
+		return su.priority < o.priority
+	}
 	if su.due != o.due {
 		return su.due < o.due
 	}
