Frontend: callers that speak PostgreSQL present their team's key

Callers saw: with teams in the configuration, callers of the line protocol needed a key, and those that speak PostgreSQL reached the same databases without one, in no team and without a limit.

Change: the startup parameter sycamorehub.team_key; frontend.Teams identifies the team and takes a token of its limit before each operation, as pkg/session does. Members that speak PostgreSQL are still not told teams.

--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -57,6 +57,7 @@
 		Executor: kernel.MustLookup[*router.Router](k, nameRouter),
 		Classes:  func() frontend.ClassTable { return classesInForce(configSync) },
 		Services: kernel.MustLookup[*directory.Directory](k, nameDirectory),
+		Teams:    callerTeams{configSync, kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits), s.VM},
 		VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
 		TLS:            kernel.MustLookup[*tlsConfigs](k, nameTLS).callers,
 		DrainGrace:     time.Duration(s.Limits.DrainGrace),
--- a/pkg/daemon/teams.go
+++ b/pkg/daemon/teams.go
@@ -5,11 +5,13 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/configsync"
+	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/scheduler"
 	"github.com/sycamorehub/sycamorehub/pkg/settings"
+	"github.com/sycamorehub/sycamorehub/pkg/team"
 	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
@@ -49,3 +51,20 @@
 		return team
 	}
 }
+
+// callerTeams implements frontend.Teams by the configuration in force.
+type callerTeams struct {
+	configSync *configsync.Sync
+	*teamlimit.Service
+	vm string
+}
+
+// Identify implements frontend.Teams. A database without a route is not public.
+func (c callerTeams) Identify(database string, key team.KeyHash) (clusterconfig.Team, error) {
+	doc := documentInForce(c.configSync)
+	if doc == nil {
+		return clusterconfig.Team{}, errkind.New(errkind.NotReady, "entry VM %s has no configuration yet", c.vm)
+	}
+	route, _ := doc.Route(database)
+	return team.Identify(doc, route, key)
+}
--- a/pkg/frontend/access.go
+++ b/pkg/frontend/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"regexp"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
@@ -29,18 +30,32 @@
 	u.Begin = a.command.kind == kindBegin
 	u.Target, u.MaxAge, u.Messages, u.Tx = class.Target, class.MaxAge, a.messages, c.tx
 	if c.inTransaction() {
-		u.Service = c.txService
+		u.Service, u.Team = c.txService, c.txTeam
 		return class, c.attachIdempotencyKey(u, a)
 	}
 	if u.Service, err = c.server.options.Services.Resolve(c.database, c.serviceKey); err != nil {
 		return class, err
 	}
+	if err := c.admitTeam(u, class); err != nil {
+		return class, err
+	}
 	var covered bool
 	u.Require, covered = c.token.Requirement(u.Service)
 	u.ConfirmPrimary = !u.Write && c.sessionID != "" && !c.tokenFromCaller && !covered
 	return class, c.attachIdempotencyKey(u, a)
 }
 
+// admitTeam sets the team of a unit that begins an operation, and refuses it beyond the team's limit. A wait for the limit takes
+// at most a fifth of the class's target, and one for the decision at most half of it.
+func (c *session) admitTeam(u *unit.Unit, class Class) error {
+	t, err := c.server.options.Teams.Identify(c.database, c.key)
+	if err != nil {
+		return err
+	}
+	u.Team, c.txTeam = t.Name, t.Name
+	return c.server.options.Teams.Admit(context.Background(), t, class.Target/5, class.Target/2)
+}
+
 // attachIdempotencyKey moves the session's idempotency key to a unit that writes. A unit of a transaction block
 // cannot have one and is refused.
 func (c *session) attachIdempotencyKey(u *unit.Unit, a *assembly) error {
--- a/pkg/frontend/options.go
+++ b/pkg/frontend/options.go
@@ -5,13 +5,16 @@
 package frontend
 
 import (
+	"context"
 	"crypto/tls"
 	"hash/fnv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/team"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
@@ -55,12 +58,32 @@
 	Resolve(database, key string) (service string, err error)
 }
 
+// Teams identifies callers by their keys and enforces the limits of their teams.
+type Teams interface {
+	// Identify returns the team of a key for the sessions of a database. An error is of kind UnknownKey or NotReady.
+	Identify(database string, key team.KeyHash) (clusterconfig.Team, error)
+	// Admit decides whether an operation of the team may run now. It waits up to limit for the decision, and up to patience for
+	// the team's rate limit.
+	Admit(ctx context.Context, t clusterconfig.Team, patience, limit time.Duration) error
+}
+
+// noTeams is used where a Server has no Teams: no caller needs a key.
+type noTeams struct{}
+
+func (noTeams) Identify(string, team.KeyHash) (clusterconfig.Team, error) {
+	return clusterconfig.Team{}, nil
+}
+func (noTeams) Admit(context.Context, clusterconfig.Team, time.Duration, time.Duration) error {
+	return nil
+}
+
 // Options configure a Server.
 type Options struct {
 	Executor unit.Executor
 	// Classes returns the classes in force, or nil while the daemon has no configuration.
 	Classes        func() ClassTable
 	Services       Services
+	Teams          Teams // nil: no caller needs a key
 	VMName         string
 	Log            logrus.FieldLogger
 	MaxConnections int           // callers served at once, at most 65,536
@@ -95,6 +118,9 @@
 	if o.ObserveRequest == nil {
 		o.ObserveRequest = func(string, errkind.Outcome, string, time.Duration) {}
 	}
+	if o.Teams == nil {
+		o.Teams = noTeams{}
+	}
 	if o.ForwardCancel == nil {
 		o.ForwardCancel = func(uint32, uint32) {}
 	}
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/team"
 	"github.com/sycamorehub/sycamorehub/pkg/token"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
@@ -25,18 +26,20 @@
 	pid, secret uint32 // cancel key: process id and secret, as sent in BackendKeyData
 
 	database        string
-	className       string      // "" for the default class
-	sessionID       string      // sycamorehub.session
-	serviceKey      string      // sycamorehub.key: selects a service within the database
-	idempotencyKey  string      // sycamorehub.idempotency_key: for the next unit that writes
-	applicationName string      // application_name
-	token           token.Token // writes that reads of the session must cover
-	tokenText       string      // sycamorehub.token: token as text
-	tokenFromCaller bool        // the caller has set a token
-	readOnly        bool        // default_transaction_read_only
-	txWritable      bool        // the open transaction may write
-	txStatus        byte        // 'I', 'T' or 'E', as in ReadyForQuery
-	txService       string      // service of the open transaction
+	key             team.KeyHash // of the key that the caller presented at startup
+	className       string       // "" for the default class
+	sessionID       string       // sycamorehub.session
+	serviceKey      string       // sycamorehub.key: selects a service within the database
+	idempotencyKey  string       // sycamorehub.idempotency_key: for the next unit that writes
+	applicationName string       // application_name
+	token           token.Token  // writes that reads of the session must cover
+	tokenText       string       // sycamorehub.token: token as text
+	tokenFromCaller bool         // the caller has set a token
+	readOnly        bool         // default_transaction_read_only
+	txWritable      bool         // the open transaction may write
+	txStatus        byte         // 'I', 'T' or 'E', as in ReadyForQuery
+	txService       string       // service of the open transaction
+	txTeam          string       // team of the latest operation
 	tx              unit.TxRef
 	// txAborted is set when the open transaction was lost, or rolled back because a unit in it was refused. All its
 	// statements are refused until the caller ends it: run on their own, they would be half of a transaction.
--- a/pkg/frontend/startup.go
+++ b/pkg/frontend/startup.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/team"
 )
 
 const (
@@ -26,6 +27,9 @@
 	maxEncryptionRequests = 2
 )
 
+// teamKeyParameter is the startup parameter with the key of the caller's team. It is neither kept nor shown.
+const teamKeyParameter = systemParameterPrefix + "team_key"
+
 // reportedParameters are sent to each caller at startup, since drivers read them. Connections to members are opened
 // with the same values.
 var reportedParameters = [...][2]string{
@@ -148,6 +152,9 @@
 	if _, err := c.classInForce(); err != nil {
 		return false, err
 	}
+	if _, err := c.server.options.Teams.Identify(c.database, c.key); err != nil {
+		return false, err
+	}
 	// The deadline is cleared before registration, since draining sets one for registered sessions that are idle.
 	_ = c.conn.SetReadDeadline(time.Time{})
 	if err := c.server.register(c); err != nil {
@@ -211,6 +218,8 @@
 	if err := expandStartupOptions(values); err != nil {
 		return nil, err
 	}
+	c.key = team.Hash(values[teamKeyParameter])
+	delete(values, teamKeyParameter)
 	// The class is set first, since it decides which access modes are allowed.
 	const class = systemParameterPrefix + "class"
 	if v, ok := values[class]; ok {
