Session: callers wait for the first configuration of a VM that starts

Change: a caller whose startup comes first waits up to 1.5 s of the 2 s that callers wait, at most half of a VM's connections; then it is told when to come back.

--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -45,6 +45,7 @@
 		c.server = session.NewServer(session.Options{
 			Protocol: e.CallerProtocol, Executor: kernel.MustLookup[*router.Router](k, nameRouter),
 			Document: func() *clusterconfig.Document { return documentInForce(configSync) },
+			Changed:  configSync.Changed,
 			VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
 			DrainGrace:     time.Duration(s.Limits.DrainGrace),
 			ObserveRequest: kernel.MustLookup[*unitMetrics](k, nameUnitMetrics).observe,
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -118,6 +118,7 @@
 	}
 	c.database, c.key = database, team.Hash(key)
 	c.setState(callerExecuting)
+	c.server.awaitConfiguration()
 	if _, err = c.currentPolicy(); err == nil && c.mustEnd() {
 		err = c.server.drainingError()
 	}
@@ -131,7 +132,7 @@
 func (c *callerSession) currentPolicy() (Policy, error) {
 	doc := c.server.opts.Document()
 	if doc == nil {
-		return Policy{}, errkind.New(errkind.NotReady, "entry VM %s has no configuration yet", c.server.opts.VMName)
+		return Policy{}, c.server.errNotReady()
 	}
 	r, ok := doc.Route(c.database)
 	if !ok {
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -45,7 +45,9 @@
 	Protocol Protocol
 	Executor unit.Executor
 	// Document returns the configuration in force, or nil while the VM has none.
-	Document       func() *clusterconfig.Document
+	Document func() *clusterconfig.Document
+	// Changed returns a channel that is closed when Document may return another configuration. Nil: callers do not wait for one.
+	Changed        func() <-chan struct{}
 	VMName         string
 	MaxConnections int
 	// DrainGrace is how long a draining server still accepts callers, so that the balancer stops sending callers before
@@ -72,6 +74,7 @@
 	drainEnd       atomic.Pointer[time.Time] // nil unless the server drains
 	units          context.Context           // parent of the contexts of all units; cancelled at the end of a drain
 	cancelUnits    context.CancelCauseFunc
+	waiting        atomic.Int64 // callers that wait for the first configuration
 
 	mu         sync.Mutex
 	callers    map[*callerSession]struct{} // guarded by mu
