Configsync: documents travel packed between VMs

Callers saw: after a loss of power of 116 VMs the configuration (1,400 routes, about 170 KB) was in force 0.07 to 2.6 s after each VM's start, and until then nobody was served.

Cause: each VM asks its readers, then all VMs of its data centre, and each answers with the whole document: several MB over links of 10 Mbit/s. Requests time out and are repeated.

Change: a requester says that it takes packed documents (DEFLATE at its fastest, packed once a version, bounded when unpacked); a copy that is held already is not parsed again. Earlier builds get documents as they are.

--- a/pkg/configsync/copy.go
+++ b/pkg/configsync/copy.go
@@ -8,6 +8,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
 // maxOperations is the number of latest versions whose operation ids a LocalConfig keeps.
@@ -18,6 +19,7 @@
 type LocalConfig struct {
 	document   *clusterconfig.Document
 	raw        []byte
+	packed     []byte // raw as wire.Pack returns it; nil until a peer asks
 	hash       uint32
 	operations map[uint64]string // ids of the operations that made the installed versions, by version
 }
@@ -28,6 +30,21 @@
 // Raw returns the stored form of the installed document.
 func (c *LocalConfig) Raw() []byte { return c.raw }
 
+// For returns the stored form for a peer: packed if the peer takes that, else as it is. The other one is nil.
+func (c *LocalConfig) For(takesPacked bool) (raw, packed []byte) {
+	if !takesPacked {
+		return c.raw, nil
+	}
+	if c.packed == nil && len(c.raw) > 0 {
+		packed, err := wire.Pack(c.raw)
+		if err != nil {
+			return c.raw, nil
+		}
+		c.packed = packed
+	}
+	return nil, c.packed
+}
+
 // Hash returns the first 4 bytes of the stored form's SHA-256.
 func (c *LocalConfig) Hash() uint32 { return c.hash }
 
@@ -54,7 +71,7 @@
 		return false, nil
 	}
 	sum := sha256.Sum256(raw)
-	c.document, c.raw, c.hash = doc, raw, binary.BigEndian.Uint32(sum[:])
+	c.document, c.raw, c.packed, c.hash = doc, raw, nil, binary.BigEndian.Uint32(sum[:])
 	if c.operations == nil {
 		c.operations = map[uint64]string{}
 	}
--- a/pkg/configsync/spread.go
+++ b/pkg/configsync/spread.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -88,7 +89,7 @@
 	s.mu.Lock()
 	installed := s.copy.Version()
 	s.mu.Unlock()
-	body, err := wire.NewEncoder().ConfigRequestBody(wire.ConfigRequest{Have: installed, Uptime: uptime})
+	body, err := wire.NewEncoder().ConfigRequestBody(wire.ConfigRequest{Have: installed, Uptime: uptime, TakesPacked: true})
 	if err != nil {
 		return wire.ConfigReply{}, err
 	}
@@ -100,7 +101,12 @@
 	if err != nil {
 		return wire.ConfigReply{}, err
 	}
-	if len(reply.Document) == 0 {
+	if len(reply.Packed) > 0 {
+		if reply.Document, err = wire.Unpack(reply.Packed, clusterconfig.MaxDocumentBytes); err != nil {
+			return wire.ConfigReply{}, err
+		}
+	}
+	if len(reply.Document) == 0 || !s.isNews(reply.Document) {
 		return reply, nil
 	}
 	if err := checkAgesStated(reply); err != nil {
@@ -109,6 +115,14 @@
 	return reply, s.installIfNewer(reply.Document)
 }
 
+// isNews reports whether the stored form of a document differs from that of the installed one. Several peers may answer with
+// the same document, and parsing a large one takes a small VM longer than receiving it.
+func (s *Sync) isNews(raw []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !bytes.Equal(raw, s.copy.Raw())
+}
+
 // checkAgesStated refuses a peer's copy in which an absent age may stand for an age of 0, because the peer's build does not
 // tell them apart. The table service has the document as its author wrote it.
 func checkAgesStated(reply wire.ConfigReply) error {
@@ -142,7 +156,7 @@
 	if s.ready {
 		reply.Version = reply.Known
 		if s.copy.Version() > request.Have {
-			reply.Document = s.copy.Raw()
+			reply.Document, reply.Packed = s.copy.For(request.TakesPacked)
 		}
 	}
 	s.mu.Unlock()
--- a/pkg/configsync/start_test.go
+++ b/pkg/configsync/start_test.go
@@ -188,3 +188,26 @@
 		require.NoError(t, checkAgesStated(wire.ConfigReply{Document: document, AgesStated: true}))
 	}
 }
+
+// Peers must get a large configuration packed if they take that, and as it is if they do not. A copy that is known already
+// must not be parsed again.
+func TestConfigurationIsPackedForPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		_, err := f.syncs["vm-00"].Apply(background, document("ana"), 0, "op-1")
+		require.NoError(t, err)
+		f.syncs["vm-00"].setReady()
+		for _, packed := range []bool{false, true} {
+			body, err := wire.NewEncoder().ConfigRequestBody(wire.ConfigRequest{TakesPacked: packed})
+			require.NoError(t, err)
+			answer, err := f.syncs["vm-00"].HandleConfigRequest(background, platform.VM{Name: "vm-01"}, body)
+			require.NoError(t, err)
+			reply, err := wire.NewDecoder().ConfigReply(answer)
+			require.NoError(t, err)
+			require.Equal(t, packed, len(reply.Packed) > 0)
+			require.Equal(t, packed, len(reply.Document) == 0)
+		}
+		require.False(t, f.syncs["vm-00"].isNews(f.syncs["vm-00"].copy.Raw()))
+		require.True(t, f.syncs["vm-00"].isNews([]byte("{}")))
+	})
+}
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -123,13 +123,16 @@
 	Have uint64
 	// Uptime is the time since the requester's start. If it is not 0, the peer says whether its copy was read after that start.
 	Uptime time.Duration
+	// TakesPacked says that the requester decodes ConfigReply.Packed. Requesters of earlier builds do not.
+	TakesPacked bool
 }
 
 // ConfigRequestBody returns the encoded message in a slice of its own.
 func (e *Encoder) ConfigRequestBody(c ConfigRequest) ([]byte, error) {
-	e.beginBody(2)
+	e.beginBody(3)
 	e.uint(c.Have)
 	e.uint(uint64(max(c.Uptime, 0) / time.Millisecond))
+	e.boolean(c.TakesPacked)
 	return bytes.Clone(e.buf.Bytes()), e.err
 }
 
@@ -140,6 +143,9 @@
 	if d.r.Len() > 0 {
 		c.Uptime = time.Duration(min(d.uint(), maxUptimeMS)) * time.Millisecond
 	}
+	if d.r.Len() > 0 {
+		c.TakesPacked = d.uint() != 0
+	}
 	return c, d.end()
 }
 
@@ -165,21 +171,25 @@
 
 	// AgesStated says that the document tells a stated age of 0 from an absent one. Peers of earlier builds do not.
 	AgesStated bool
+
+	// Packed is the document as Pack returns it, in place of Document, for requesters that take it.
+	Packed []byte
 }
 
 // ConfigReplyBody returns the encoded message in a slice of its own.
 func (e *Encoder) ConfigReplyBody(c ConfigReply) ([]byte, error) {
-	e.beginBody(6)
+	e.beginBody(7)
 	e.uint(c.Version)
 	e.bytes(c.Document)
 	e.boolean(c.Current)
 	e.uint(c.Known)
 	e.boolean(c.TurnedAway)
 	e.boolean(c.AgesStated)
+	e.bytes(c.Packed)
 	return bytes.Clone(e.buf.Bytes()), e.err
 }
 
-// ConfigReply decodes the message. Document aliases body.
+// ConfigReply decodes the message. Document and Packed alias body.
 func (d *Decoder) ConfigReply(body []byte) (ConfigReply, error) {
 	d.begin(body, 2)
 	c := ConfigReply{Version: d.uint(), Document: d.bytes()}
@@ -195,6 +205,9 @@
 	if d.r.Len() > 0 {
 		c.AgesStated = d.uint() != 0
 	}
+	if d.r.Len() > 0 {
+		c.Packed = d.bytes()
+	}
 	return c, d.end()
 }
 
