Callers that nobody controls: one budget for the messages of a process

Cause: each connection was bounded, their sum was not, and the runtime had no limit. Connections without a startup could take all places.

If all places are taken, the oldest connection without a startup makes way.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -37,6 +37,7 @@
 	namePeerServer  = "peer-server"
 	nameConfig      = "config"
 	nameTeamLimits  = "team-limits"
+	nameMemory      = "memory"
 	nameViews       = "views"
 	nameRouter      = "router"
 	nameBurn        = "burn"
@@ -109,6 +110,7 @@
 		existingService(nameLog, e.Log),
 		existingService(nameSelf, self),
 		existingService(nameEdges, e),
+		{Name: nameMemory, New: newMemory},
 		{Name: nameBurn, New: newBurn},
 		{Name: nameUnitMetrics, New: newUnitMetrics},
 		{Name: nameRequestLog, New: newRequestLog},
--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/frontend"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/router"
@@ -47,6 +48,7 @@
 			Document: func() *clusterconfig.Document { return documentInForce(configSync) },
 			Changed:  configSync.Changed,
 			VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
+			Budget:         kernel.MustLookup[*membudget.Budget](k, nameMemory),
 			DrainGrace:     time.Duration(s.Limits.DrainGrace),
 			ObserveRequest: kernel.MustLookup[*unitMetrics](k, nameUnitMetrics).observe,
 			Admit:          kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits).Admit,
@@ -61,6 +63,7 @@
 		Teams:    callerTeams{configSync, kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits), s.VM},
 		VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
 		TLS:            kernel.MustLookup[*tlsConfigs](k, nameTLS).callers,
+		Budget:         kernel.MustLookup[*membudget.Budget](k, nameMemory),
 		DrainGrace:     time.Duration(s.Limits.DrainGrace),
 		ObserveRequest: kernel.MustLookup[*unitMetrics](k, nameUnitMetrics).observe,
 		ForwardCancel:  func(pid, secret uint32) { forwardCancel(pool, vmView, pid, secret) },
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/frontend"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/owner"
 	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
@@ -57,6 +58,8 @@
 	descMemberPollBytes   = desc("member_poll_bytes_total", "Estimated bytes of control traffic with members.")
 	descHeartbeats        = desc("heartbeats_total", "Heartbeats sent.")
 	descPanics            = desc("unexpected_errors_total", "Panics that ended one session, request or read of this daemon.")
+	descBudgetBytes       = desc("message_memory_bytes", "Memory that messages of callers may take, and that they take.", "kind")
+	descBudgetEnded       = desc("message_memory_ended_total", "Connections of callers ended for want of memory.", "reason")
 	descTeamAdmitted      = desc("team_limit_admitted_total", "Operations admitted within the limits of their teams.")
 	descTeamRefused       = desc("team_limit_refused_total", "Operations refused beyond the limits of their teams.")
 	descTeamGranted       = desc("team_limit_granted_total", "Tokens granted to entry VMs as a keeper of limits.")
@@ -101,6 +104,7 @@
 	c.collectQueues(gauge, counter)
 	c.collectStartups(gauge, counter)
 	c.collectTeams(gauge, counter)
+	c.collectMemory(gauge, counter)
 	configSync := kernel.MustLookup[*configsync.Sync](c.k, nameConfig)
 	version := configSync.InForce()
 	gauge(descConfigVersion, float64(version))
@@ -121,6 +125,15 @@
 	counter(descMemberPollBytes, watcherStats.Bytes)
 }
 
+// collectMemory reports the budget for messages of callers.
+func (c collector) collectMemory(gauge gaugeFunc, counter counterFunc) {
+	stats := kernel.MustLookup[*membudget.Budget](c.k, nameMemory).Stats()
+	gauge(descBudgetBytes, float64(stats.Limit), "limit")
+	gauge(descBudgetBytes, float64(stats.Used), "used")
+	counter(descBudgetEnded, stats.Evicted, "held-longest")
+	counter(descBudgetEnded, stats.Refused, "no-room")
+}
+
 // collectTeams reports sums over all teams; GET /v1/teams has them by team.
 func (c collector) collectTeams(gauge gaugeFunc, counter counterFunc) {
 	limits := kernel.MustLookup[*teamlimit.Service](c.k, nameTeamLimits)
--- a/pkg/frontend/options.go
+++ b/pkg/frontend/options.go
@@ -14,6 +14,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/team"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
@@ -86,11 +87,12 @@
 	Teams          Teams // nil: no caller needs a key
 	VMName         string
 	Log            logrus.FieldLogger
-	MaxConnections int           // callers served at once, at most 65,536
-	TLS            *tls.Config   // nil: connections are not encrypted
-	StartupTimeout time.Duration // bounds a startup, from accept to its answer
-	WriteTimeout   time.Duration // bounds one write to a caller
-	DrainGrace     time.Duration // how long idle callers stay connected while draining
+	MaxConnections int               // callers served at once, at most 65,536
+	Budget         *membudget.Budget // room for messages of callers; nil: no limit
+	TLS            *tls.Config       // nil: connections are not encrypted
+	StartupTimeout time.Duration     // bounds a startup, from accept to its answer
+	WriteTimeout   time.Duration     // bounds one write to a caller
+	DrainGrace     time.Duration     // how long idle callers stay connected while draining
 	// ObserveRequest is called after each unit that needs the executor. code is the code of the error kind with which the
 	// system ended the unit, or empty.
 	ObserveRequest func(class string, outcome errkind.Outcome, code string, latency time.Duration)
--- a/pkg/frontend/reader.go
+++ b/pkg/frontend/reader.go
@@ -37,7 +37,9 @@
 			c.workspace = getWorkspace()
 		}
 		w := c.workspace
-		w.growInput()
+		if w.readErr = c.growInput(); w.readErr != nil {
+			return true
+		}
 		n, errno := sockio.Read(int(fd), w.in[len(w.in):cap(w.in)])
 		if errno == syscall.EAGAIN {
 			if w.idle() {
@@ -54,18 +56,30 @@
 	}
 }
 
+// errNoRoom ends a session whose messages take more memory than the process can give them.
+var errNoRoom = errkind.New(errkind.Overload, "the messages of all callers take more memory than this entry VM has for them")
+
+// messageCopies is how often a large unit is held: as it was received, and as it is sent on.
+const messageCopies = 2
+
 // growInput makes room for at least one more byte. The buffer doubles as bytes arrive, so that a length stated by the
-// caller allocates nothing by itself.
-func (w *workspace) growInput() {
+// caller allocates nothing by itself. An error means that the process has no room for a larger one.
+func (c *session) growInput() error {
+	w := c.workspace
 	if w.inPos > 0 {
 		w.in = w.in[:copy(w.in, w.in[w.inPos:])]
 		w.inPos = 0
 	}
 	if len(w.in) == cap(w.in) {
-		in := make([]byte, len(w.in), max(2*cap(w.in), inBufferBytes))
+		size := max(2*cap(w.in), inBufferBytes)
+		if !c.room.Resize(messageCopies * size) {
+			return errNoRoom
+		}
+		in := make([]byte, len(w.in), size)
 		copy(in, w.in)
 		w.in = in
 	}
+	return nil
 }
 
 // fill waits for more bytes, without a limit unless a unit has begun to arrive.
@@ -112,7 +126,9 @@
 // first byte without a buffer from the pool.
 func (c *session) fillFromConn() error {
 	if c.workspace != nil {
-		c.workspace.growInput()
+		if err := c.growInput(); err != nil {
+			return err
+		}
 		n, err := c.conn.Read(c.workspace.in[len(c.workspace.in):cap(c.workspace.in)])
 		c.workspace.in = c.workspace.in[:len(c.workspace.in)+n]
 		if n > 0 {
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -154,6 +154,8 @@
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.openConns.Add(-1)
 	c := &session{server: s, conn: conn, txStatus: 'I'}
+	c.room = s.options.Budget.NewHolder(func() { _ = conn.Close() })
+	defer c.room.Release()
 	defer func() { _ = c.conn.Close() }()
 	defer panics.Confine(s.options.Log, "session of a caller", nil)
 	ok, err := c.startup()
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/team"
 	"github.com/sycamorehub/sycamorehub/pkg/token"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
@@ -23,6 +24,8 @@
 	readDescriptor func(fd uintptr) bool // reads into workspace; kept to avoid an allocation per wait; nil without a descriptor
 	workspace      *workspace            // nil while the session is idle
 
+	room *membudget.Holder // what the messages of the unit take
+
 	pid, secret uint32 // cancel key: process id and secret, as sent in BackendKeyData
 
 	database        string
@@ -88,6 +91,7 @@
 		if c.workspace.pending() == 0 {
 			putWorkspace(c.workspace)
 			c.workspace = nil
+			c.room.Release()
 		}
 		if c.server.draining.Load() && !c.inTransaction() {
 			return c.drainError()
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/team"
@@ -21,6 +22,8 @@
 	session  *Session
 	database string
 	key      team.KeyHash
+	room     *membudget.Holder // what the messages of the caller take
+	accepted time.Time
 
 	mu          sync.Mutex
 	state       callerState // guarded by mu
@@ -64,6 +67,7 @@
 
 func (c *callerSession) serve() {
 	defer c.server.remove(c)
+	defer c.room.Release()
 	defer func() { _ = c.conn.Close() }()
 	defer panics.Confine(c.server.opts.Log, "session of a caller", nil)
 	if !c.startup() {
@@ -104,6 +108,13 @@
 	c.conn.EndSession(reason, deadline)
 }
 
+// isStarting reports whether the startup has not been read.
+func (c *callerSession) isStarting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == callerStarting
+}
+
 func (c *callerSession) setState(s callerState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
@@ -32,7 +33,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := &drainTest{listener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, callers: make(chan *fakeCaller, 1)}
-	d.Server = NewServer(Options{Protocol: func(net.Conn) CallerConn { return <-d.callers }, Executor: e, Log: log, MaxConnections: 4,
+	d.Server = NewServer(Options{Protocol: func(net.Conn, *membudget.Holder) CallerConn { return <-d.callers }, Executor: e, Log: log, MaxConnections: 4,
 		Document: func() *clusterconfig.Document {
 			if beforePolicy != nil {
 				beforePolicy()
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
 	"github.com/sycamorehub/sycamorehub/pkg/loglimit"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
@@ -37,8 +38,8 @@
 	Close() error
 }
 
-// Protocol wraps the connection of a caller with the decoding and encoding of its protocol.
-type Protocol func(net.Conn) CallerConn
+// Protocol wraps the connection of a caller with the decoding and encoding of its protocol. room is what its messages may take.
+type Protocol func(nc net.Conn, room *membudget.Holder) CallerConn
 
 // Options configure a Server.
 type Options struct {
@@ -50,6 +51,7 @@
 	Changed        func() <-chan struct{}
 	VMName         string
 	MaxConnections int
+	Budget         *membudget.Budget // room for messages of callers; nil: no limit
 	// DrainGrace is how long a draining server still accepts callers, so that the balancer stops sending callers before
 	// the server refuses them.
 	DrainGrace time.Duration
@@ -110,7 +112,8 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := &callerSession{server: s, conn: s.opts.Protocol(nc), session: New()}
+		room := s.opts.Budget.NewHolder(func() { _ = nc.Close() })
+		c := &callerSession{server: s, conn: s.opts.Protocol(nc, room), room: room, session: New()}
 		if !s.add(c) {
 			_ = nc.Close()
 			continue
@@ -133,13 +136,31 @@
 func (s *Server) add(c *callerSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || len(s.callers) >= s.opts.MaxConnections {
+	if s.closing || len(s.callers) >= s.opts.MaxConnections && !s.endOldestStarting() {
 		return false
 	}
+	c.accepted = time.Now()
 	s.callers[c] = struct{}{}
 	return true
 }
 
+// endOldestStarting closes the connection that has waited longest without sending its startup, and reports whether there was
+// one. A crowd that connects and says nothing must not keep others out. s.mu must be held.
+func (s *Server) endOldestStarting() bool {
+	var oldest *callerSession
+	for c := range s.callers {
+		if c.isStarting() && (oldest == nil || c.accepted.Before(oldest.accepted)) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(s.callers, oldest)
+	_ = oldest.conn.Close()
+	return true
+}
+
 func (s *Server) remove(c *callerSession) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/errkind"
+	"github.com/sycamorehub/sycamorehub/pkg/membudget"
 	"github.com/sycamorehub/sycamorehub/pkg/requestlog"
 	"github.com/sycamorehub/sycamorehub/pkg/team"
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
@@ -291,7 +292,7 @@
 		IdleTransaction: clusterconfig.Duration(3 * time.Second)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := NewServer(Options{Protocol: func(net.Conn) CallerConn { return f }, Executor: e, Log: log, MaxConnections: 4,
+	s := NewServer(Options{Protocol: func(net.Conn, *membudget.Holder) CallerConn { return f }, Executor: e, Log: log, MaxConnections: 4,
 		Document: func() *clusterconfig.Document { return doc }, DrainGrace: 2 * time.Second,
 		RecordFailure:  func(requestlog.Entry) {},
 		ObserveRequest: func(string, errkind.Outcome, string, time.Duration) {}})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -60,6 +60,8 @@
 type Limits struct {
 	// CallerConnections is the largest number of connections of callers.
 	CallerConnections int `json:"callerConnections" validate:"min=1,max=1000000"`
+	// MemoryMB is the memory that the process may use. 0 stands for the memory of the machine.
+	MemoryMB int `json:"memoryMB,omitempty" validate:"min=0,max=16777216"`
 	// DrainGrace is how long the connections of idle callers stay open after a graceful shutdown has begun.
 	DrainGrace clusterconfig.Duration `json:"drainGrace" validate:"min=0,max=60000000000"`
 	// Drain is how long callers have to finish their units and transactions during a graceful shutdown.
