Reads of a stated age require the log from which the age is known

Cause: the age of a member's data counts from its last status under the same name and was kept when the next status showed less of the log; until that status nobody noticed at all, and the read carried nothing by which the member could refuse it.

Change: the owner sends such a read with the position from which the age is known, so that a member without it refuses (platforms whose members do so); a status with less of the log ends what was known of the age. A later term may hold less: promotions roll back.

--- a/pkg/group/fresh.go
+++ b/pkg/group/fresh.go
@@ -84,3 +84,13 @@
 		}
 	}
 }
+
+// setStatus takes over a status of the member. If it shows less of the log than the one before, the member has started again
+// without its log: what was known of the age of its data holds no more.
+func (m *member) setStatus(st platform.Status, requestedAt time.Time) {
+	before := unit.Requirement{Term: m.status.AppliedTerm, Position: m.status.Applied}
+	if m.known && st.AppliedTerm <= before.Term && !quorum.MayServeRead(st, before) {
+		m.freshAt = time.Time{}
+	}
+	m.status, m.known, m.requestedAt = st, true, requestedAt
+}
--- a/pkg/group/relay.go
+++ b/pkg/group/relay.go
@@ -300,7 +300,7 @@
 	m.statusChanged = false
 	if at := timeOfAge(relayed.Sent); !m.known || at.After(m.requestedAt) {
 		m.statusChanged = !m.known || m.status != m.relayedStatus
-		m.status, m.known, m.requestedAt = m.relayedStatus, true, at
+		m.setStatus(m.relayedStatus, at)
 	}
 	if fresh := timeOfAge(relayed.Fresh); relayed.Fresh > 0 && fresh.After(m.freshAt) {
 		m.freshAt = fresh
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -240,7 +240,7 @@
 	wasUnreachable := !m.reachable()
 	m.statusChanged = !m.known || m.status != st
 	lostState := st.LostState && !m.status.LostState
-	m.status, m.known, m.requestedAt = st, true, sent
+	m.setStatus(st, sent)
 	m.recordAnswer(now)
 	s.refreshPrimary()
 	s.updateFreshness(m)
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -452,6 +452,7 @@
 	}
 	m, ok := o.watcher.Member(u.Service, o.member.Name)
 	if ok && m.Fresh && u.MaxAge.Allows(m.Age) {
+		o.requireKnownLog(u, m)
 		return nil
 	}
 	if o.canConfirmItself(u) {
@@ -465,6 +466,15 @@
 	return errkind.New(errkind.ReadNotCovered, "data of member %q is older than the %v that the class accepts, or of unknown age", o.member.Name, u.MaxAge)
 }
 
+// requireKnownLog makes a member that refuses reads beyond its log refuse this one unless it still has the log from which its
+// age is known. A member may start again under its name without a log, and its age would be taken for that of before.
+func (o *Owner) requireKnownLog(u *unit.Unit, m group.MemberView) {
+	known := unit.Requirement{Term: m.Status.AppliedTerm, Position: m.Status.Applied}
+	if o.guarantees.Position && (known.Term > u.Require.Term || known.Term == u.Require.Term && known.Position > u.Require.Position) {
+		u.Require = known
+	}
+}
+
 // canConfirmItself reports whether the member can prove by itself that its data is current: as primary, it refuses the
 // unit unless it still is the primary. This serves VMs that do not know its age because they reach no majority of the
 // members, such as one that is cut off from the others together with the primary.
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -392,3 +392,27 @@
 	require.False(t, executesNothing(append(encode("PD"), 'S', 0, 0)), "truncated message")
 	require.False(t, executesNothing([]byte{'P', 0, 0, 0, 0}), "malformed length")
 }
+
+// A read of a stated age must be refused by a member that no longer has the log from which its age is known, as after a start
+// without its log. A session's own, later position must stay required. Members that do not refuse such reads get none.
+func TestReadRequiresTheLogOfItsAge(t *testing.T) {
+	for name, c := range map[string]struct {
+		guaranteed bool
+		limit      unit.AgeLimit
+		required   unit.Requirement
+		want       unit.Requirement
+	}{
+		"stated age":             {true, unit.LimitAge(5 * time.Second), unit.Requirement{}, unit.Requirement{Term: 2, Position: 10}},
+		"later write of its own": {true, unit.LimitAge(5 * time.Second), unit.Requirement{Term: 2, Position: 11}, unit.Requirement{Term: 2, Position: 11}},
+		"no age stated":          {true, 0, unit.Requirement{}, unit.Requirement{}},
+		"member does not refuse": {false, unit.LimitAge(5 * time.Second), unit.Requirement{}, unit.Requirement{}},
+	} {
+		w, p := newFakeWatcher("m2"), &fakePool{}
+		w.view.Members[0].Status.AppliedTerm, w.view.Members[0].Status.Applied = 2, 10
+		o := newTestOwner(t, w, p, 4)
+		o.SetGuarantees(platform.Guarantees{Position: c.guaranteed})
+		u := unit.Unit{Service: "s", MaxAge: c.limit, Require: c.required, Target: time.Second}
+		require.NoError(t, o.Execute(context.Background(), &u, nil).Err, name)
+		require.Equal(t, c.want, u.Require, name)
+	}
+}
