Group: a replica that has received the log may replace a leaving primary

Cause: the hand-over waited for a replica that had applied what the primary had 1 s ago. A promoted member applies its log first, so that only what it has received counts.

Change: the service also keeps the latest time whose log a member has received, and hands over to one that is less than 1 s behind in that. A replica that has received nothing for longer still does not take over.

Test: TestLeavingPrimaryHandsOverToReplicaThatAppliesLate (the case "applies 1.2 s late" is not handed over by the rule of before).

--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -21,7 +21,7 @@
 	ownerHeadStart = 1200 * time.Millisecond
 	// otherPromoterDelay is how long this VM leaves another promoter to finish after noticing its fence.
 	otherPromoterDelay = 600 * time.Millisecond
-	// maxSuccessorAge is the age of a replica's data from which it is too far behind for a planned change of primary.
+	// maxSuccessorAge is the age of what a replica has received from which it is too far behind for a planned change of primary.
 	maxSuccessorAge = time.Second
 	initialBackoff  = 200 * time.Millisecond
 	maxBackoff      = 5 * time.Second
@@ -131,11 +131,13 @@
 	return true
 }
 
-// hasFreshSuccessor reports whether a replica that is not leaving is close enough behind the leaving primary to
-// replace it.
+// hasFreshSuccessor reports whether a replica that is not leaving is close enough behind the leaving primary to replace it. What
+// counts is what it has received, since a promoted member first applies its log: a replica that only applies late loses
+// nothing, and the primary would keep its work beyond its time.
 func (s *service) hasFreshSuccessor(now time.Time) bool {
 	for _, m := range s.members {
-		if m != s.primary && m.mayBecomePrimary() && m.reachable() && now.Sub(m.freshAt) < maxSuccessorAge {
+		if m != s.primary && m.mayBecomePrimary() && m.reachable() &&
+			(now.Sub(m.freshAt) < maxSuccessorAge || now.Sub(m.receivedAt) < maxSuccessorAge) {
 			return true
 		}
 	}
--- a/pkg/group/fresh.go
+++ b/pkg/group/fresh.go
@@ -75,22 +75,34 @@
 	s.samples = kept
 }
 
-// advanceFreshAt sets freshAt to the time of the latest confirmed sample whose log the member has applied.
+// advanceFreshAt sets freshAt to the time of the latest confirmed sample whose log the member has applied, and receivedAt to
+// that of the latest whose log it has received.
 func (m *member) advanceFreshAt(samples []positionSample) {
 	for i := len(samples) - 1; i >= 0 && samples[i].at.After(m.freshAt); i-- {
 		if samples[i].confirmed && m.known && quorum.MayServeRead(m.status, samples[i].logEnd) {
 			m.freshAt = samples[i].at
+			break
+		}
+	}
+	for i := len(samples) - 1; i >= 0 && samples[i].at.After(m.receivedAt); i-- {
+		if samples[i].confirmed && m.known && hasReceived(m.status, samples[i].logEnd) {
+			m.receivedAt = samples[i].at
 			return
 		}
 	}
 }
 
+// hasReceived reports whether the log of a member reaches an end of a primary's log.
+func hasReceived(s platform.Status, logEnd unit.Requirement) bool {
+	return quorum.LogAtLeastAsNew(s, platform.Status{LastTerm: logEnd.Term, LastPosition: logEnd.Position})
+}
+
 // setStatus takes over a status of the member. If it shows less of the log than the one before, the member has started again
 // without its log: what was known of the age of its data holds no more.
 func (m *member) setStatus(st platform.Status, requestedAt time.Time) {
 	before := unit.Requirement{Term: m.status.AppliedTerm, Position: m.status.Applied}
 	if m.known && st.AppliedTerm <= before.Term && !quorum.MayServeRead(st, before) {
-		m.freshAt = time.Time{}
+		m.freshAt, m.receivedAt = time.Time{}, time.Time{}
 	}
 	m.status, m.known, m.requestedAt = st, true, requestedAt
 }
--- a/pkg/group/fresh_test.go
+++ b/pkg/group/fresh_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
 // The age of a member that has started again without its log must not be taken for that of before. A later term may hold fewer
@@ -28,3 +29,28 @@
 		require.Equal(t, c.after, m.status)
 	}
 }
+
+// A leaving primary must hand over to a replica that has received its log and only applies it late, and must not hand over to
+// one that has not received it.
+func TestLeavingPrimaryHandsOverToReplicaThatAppliesLate(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		received, applied time.Duration // ages of what the replica has received and applied
+		want              bool
+	}{
+		"applies at once":            {100 * time.Millisecond, 100 * time.Millisecond, true},
+		"applies 1.2 s late":         {100 * time.Millisecond, 1200 * time.Millisecond, true},
+		"has not received for 1.2 s": {1200 * time.Millisecond, 1300 * time.Millisecond, false},
+	} {
+		primary := &member{known: true, status: platform.Status{LastTerm: 2, LastPosition: 100, Leaving: true}}
+		replica := &member{known: true}
+		s := &service{primary: primary, members: []*member{primary, replica}, samples: []positionSample{
+			{at: now.Add(-c.applied), term: 2, logEnd: unit.Requirement{Term: 2, Position: 80}, confirmed: true},
+			{at: now.Add(-c.received), term: 2, logEnd: unit.Requirement{Term: 2, Position: 90}, confirmed: true},
+			{at: now, term: 2, logEnd: unit.Requirement{Term: 2, Position: 100}, confirmed: true},
+		}}
+		replica.status = platform.Status{LastTerm: 2, LastPosition: 95, AppliedTerm: 2, Applied: 85}
+		replica.advanceFreshAt(s.samples)
+		require.Equal(t, c.want, s.hasFreshSuccessor(now), name)
+	}
+}
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -64,6 +64,7 @@
 	statusChanged    bool            // the last answer changed status
 	bestReport       platform.Status // report that counts for the most writes, see keepBestReport
 	freshAt          time.Time       // time that MemberView.Age counts from, or zero
+	receivedAt       time.Time       // latest time known whose acknowledged writes the member has received, applied or not; zero for none
 	appliedWaiters   []*appliedWaiter
 	followRequested  time.Time // last request to follow; before the first, a time that makes it due after the rank's delay
 }
