Group: a member that has been leaving for long is not promoted

Cause: leaving members are the last resort of a promotion, however long they have been leaving.

Change: a member that has been seen leaving for 3 s is fenced and counts in the majority, but is never chosen; the attempt waits for another member whose log is new enough.

Tests: TestBarredMemberIsNotPromoted, TestMemberThatLeavesForLongIsBarred (both use what did not exist before; the case "last resort only" shows the rule of before).

--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -112,6 +112,9 @@
 	target := s.betterRegion()
 	for _, m := range s.membersByPreference() {
 		a.Members = append(a.Members, m.info.Name)
+		if m.leavingLong(time.Now()) {
+			a.Barred = append(a.Barred, m.info.Name)
+		}
 		if m.leaving() || reason == ReasonPlacement && m.info.Region != target {
 			a.LastResort = append(a.LastResort, m.info.Name)
 		}
--- a/pkg/group/fresh.go
+++ b/pkg/group/fresh.go
@@ -105,4 +105,10 @@
 		m.freshAt, m.receivedAt = time.Time{}, time.Time{}
 	}
 	m.status, m.known, m.requestedAt = st, true, requestedAt
+	switch {
+	case !m.leaving():
+		m.leavingSince = time.Time{}
+	case m.leavingSince.IsZero():
+		m.leavingSince = requestedAt
+	}
 }
--- a/pkg/group/fresh_test.go
+++ b/pkg/group/fresh_test.go
@@ -54,3 +54,18 @@
 		require.Equal(t, c.want, s.hasFreshSuccessor(now), name)
 	}
 }
+
+// A member that has just begun to leave may still be promoted where no other can be; one that has been leaving for seconds must
+// not, and one that is not leaving any more counts as before.
+func TestMemberThatLeavesForLongIsBarred(t *testing.T) {
+	begin := time.Now()
+	m := &member{}
+	m.setStatus(platform.Status{Leaving: true}, begin)
+	m.setStatus(platform.Status{Leaving: true}, begin.Add(2*time.Second))
+	require.False(t, m.leavingLong(begin.Add(maxLeavingPromotable-time.Millisecond)))
+	require.True(t, m.leavingLong(begin.Add(maxLeavingPromotable)))
+	m.setStatus(platform.Status{}, begin.Add(4*time.Second))
+	require.False(t, m.leavingLong(begin.Add(5*time.Second)))
+	m.setStatus(platform.Status{Leaving: true}, begin.Add(6*time.Second))
+	require.False(t, m.leavingLong(begin.Add(7*time.Second)))
+}
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -65,6 +65,7 @@
 	bestReport       platform.Status // report that counts for the most writes, see keepBestReport
 	freshAt          time.Time       // time that MemberView.Age counts from, or zero
 	receivedAt       time.Time       // latest time known whose acknowledged writes the member has received, applied or not; zero for none
+	leavingSince     time.Time       // when the member was first seen leaving, or zero
 	appliedWaiters   []*appliedWaiter
 	followRequested  time.Time // last request to follow; before the first, a time that makes it due after the rank's delay
 }
@@ -87,6 +88,15 @@
 func (m *member) reachable() bool { return m.known && m.failures < failuresUntilUnreachable }
 func (m *member) leaving() bool   { return m.info.Leaving || m.status.Leaving }
 
+// maxLeavingPromotable is how long a leaving member may be promoted where no other one can be. A member that leaves must get no
+// new work after some seconds, and as the primary it would get all writes.
+const maxLeavingPromotable = 3 * time.Second
+
+// leavingLong reports whether the member has been leaving for too long to be promoted.
+func (m *member) leavingLong(now time.Time) bool {
+	return m.leaving() && !m.leavingSince.IsZero() && now.Sub(m.leavingSince) >= maxLeavingPromotable
+}
+
 // mayBecomePrimary reports whether the member may be promoted: it is not leaving, and it still holds what it has
 // acknowledged.
 func (m *member) mayBecomePrimary() bool { return !m.leaving() && !m.status.LostState }
--- a/pkg/quorum/check_test.go
+++ b/pkg/quorum/check_test.go
@@ -109,3 +109,25 @@
 		}
 	})
 }
+
+// A barred member must not be promoted, even if only its log is new enough; it counts in the majority, and another member is
+// promoted as soon as one with a log that is new enough is fenced.
+func TestBarredMemberIsNotPromoted(t *testing.T) {
+	status := func(position platform.Position) platform.Status {
+		return platform.Status{FencedTerm: 7, FencedBy: "id", LastTerm: 3, LastPosition: position}
+	}
+	for name, c := range map[string]struct {
+		barred []string
+		want   string
+	}{"last resort only": {nil, memberNames[0]}, "barred": {memberNames[:1], ""}} {
+		p, _ := NewPromoter(Attempt{Term: 7, ID: "id", Members: memberNames, LastResort: memberNames[:1], Barred: c.barred})
+		p.Step(Input{Kind: FenceAnswered, Member: memberNames[0], Status: status(9)})
+		p.Step(Input{Kind: FenceAnswered, Member: memberNames[1], Status: status(5)})
+		p.Step(Input{Kind: NoAnswer, Member: memberNames[2]})
+		require.Equal(t, c.want, p.Chosen(), name)
+		if c.want == "" {
+			p.Step(Input{Kind: FenceAnswered, Member: memberNames[2], Status: status(9)})
+			require.Equal(t, memberNames[2], p.Chosen(), name)
+		}
+	}
+}
--- a/pkg/quorum/promoter.go
+++ b/pkg/quorum/promoter.go
@@ -64,6 +64,9 @@
 	Members []string
 	// LastResort lists members, such as leaving ones, that are promoted only if no other fenced member may be.
 	LastResort []string
+	// Barred lists members that are never promoted, such as those that have been leaving for long. They are fenced and count in
+	// the majority.
+	Barred []string
 }
 
 // Promoter is the state machine of one attempt. It promotes at most one member and repeats the request only to that
@@ -185,9 +188,14 @@
 	if !p.rules.isMajority(len(p.fenceAnswers), len(p.attempt.Members)) || p.awaitsAnswers() {
 		return nil
 	}
-	best := p.newestPromotable(func(m string) bool { return !slices.Contains(p.attempt.LastResort, m) })
+	best := p.newestPromotable(func(m string) bool {
+		return !slices.Contains(p.attempt.LastResort, m) && !slices.Contains(p.attempt.Barred, m)
+	})
+	if best == "" {
+		best = p.newestPromotable(func(m string) bool { return !slices.Contains(p.attempt.Barred, m) })
+	}
 	if best == "" {
-		best = p.newestPromotable(func(string) bool { return true })
+		return nil // only a barred member has a log that is new enough; another one may still answer
 	}
 	p.chosen, p.phase = best, PhasePromoting
 	return []Action{{PromoteMember, best}}
