--- a/pkg/teamlimit/keeper.go
+++ b/pkg/teamlimit/keeper.go
@@ -34,16 +34,12 @@
 
 // Want is what a VM asks for a team.
 type Want struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Team   string
 	Tokens int
 }
 
 // Grant is the answer to a Want.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Tokens int
 	// Wait is the time after which the next token is free, 0 if all were granted. Return is when callers that are refused should
 	// come back: the keeper tells later times to those that it refuses later.
@@ -52,8 +48,6 @@
 
 // Request is a message of a VM to the keeper of a shard.
 type Request struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Incarnation uint64 // of the keeper's process to which Confirmed refers
 	Confirmed   uint64 // Stamp of the latest reply that the VM has received; 0 for none
 	Detach      bool   // the VM goes to another keeper
@@ -62,8 +56,6 @@
 
 // Reply answers a Request.
 type Reply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Incarnation uint64
 	Stamp       uint64 // the keeper's time
 	Attached    bool   // the VM is attached until Attachment after the time of the stamp that it confirmed
--- a/pkg/teamlimit/service.go
+++ b/pkg/teamlimit/service.go
@@ -1,6 +1,7 @@
 package teamlimit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -350,13 +351,18 @@
 
 // message is a Request with the shard that it is for.
 type message struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Shard   int
 	Request Request
 }
 
-func encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
+// encode encodes a message with its fields in order and without their names.
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	err := e.Encode(v)
+	return b.Bytes(), err
+}
 
 func decodeRequest(body []byte) (message, error) {
 	var m message
