sycamorehubctl config check: what a document holds that is probably not meant

Operators wished for a check before a configuration is sent. pkg/configcheck finds entries that can never match and limits that contradict each other, with path and line; the command also says what differs from another document or the one in force, now with routes. It parses with the daemons' own code and sends nothing. Exit status 0 clean, 1 findings, 2 unusable.

--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"os/user"
 	"strconv"
 	"strings"
@@ -35,6 +34,9 @@
 		Name: "config", Usage: "show and change the cluster's configuration", Action: t.showCommandHelp, OnUsageError: onUsageError,
 		Commands: []*cli.Command{
 			t.command("validate", "FILE", "check a document without sending it (- reads standard input)", t.configValidate),
+			t.command("check", "FILE", "look for entries that can never match and limits that contradict each other; nothing is sent", t.configCheck,
+				&cli.StringFlag{Name: "against", Usage: "say what differs from the document in this file", TakesFile: true},
+				&cli.BoolFlag{Name: "in-force", Usage: "say what differs from the configuration in force"}),
 			t.command("apply", "FILE", "put a document in force, unless the configuration has changed since the version it is based on", t.configApply,
 				&cli.StringFlag{Name: "if-version", Usage: "version the document is based on; default: its version field, else the version in the store"},
 				&cli.StringFlag{Name: "operation-id", Usage: "identifier stored with the change; default: a random one"}),
@@ -49,15 +51,9 @@
 // readDocument reads and checks the document in the file that the command names, or from standard input.
 func readDocument(cmd *cli.Command) ([]byte, *clusterconfig.Document, error) {
 	path := cmd.Args().First()
-	var data []byte
-	var err error
-	if path == "-" {
-		data, err = io.ReadAll(io.LimitReader(os.Stdin, clusterconfig.MaxDocumentBytes+1))
-	} else {
-		data, err = os.ReadFile(path)
-	}
+	data, err := readFile(path)
 	if err != nil {
-		return nil, nil, &Error{Exit: ExitUsage, Message: fmt.Sprintf("cannot read the document: %v", err), cause: err, Remedy: "name a file that can be read, or - for standard input"}
+		return nil, nil, err
 	}
 	doc, err := clusterconfig.Parse(data)
 	if err != nil {
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -288,3 +288,24 @@
 		Diff(from, to))
 	require.Equal(t, []string{"keys of teams: required -> not required", "team crew: removed", "team new: removed"}, Diff(to, &clusterconfig.Document{}))
 }
+
+// A check must send nothing, and its exit status must tell clean documents, findings and unusable documents apart.
+func TestConfigCheck(t *testing.T) {
+	c, _ := newCluster(t, "a")
+	c.addVersion(parseDocument(t, validDocument, 3, "me"))
+	code, out := c.run(t, "config", "check", writeTempFile(t, validDocument), "--in-force")
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, "nothing found")
+	changed := strings.Replace(validDocument, "250ms", "300ms", 1)
+	code, out = c.run(t, "config", "check", "--against", writeTempFile(t, validDocument), writeTempFile(t, changed))
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, `class order: target.latency: "250ms" -> "300ms"`)
+	odd := strings.Replace(validDocument, `"default"`, `"keysRequired": true, "teams": [{"name": "crew"}], "default"`, 1)
+	code, out = c.run(t, "config", "check", writeTempFile(t, odd))
+	require.Equal(t, ExitFailure, code, out)
+	require.Contains(t, out, "nobody can call as team")
+	code, out = c.run(t, "config", "check", writeTempFile(t, `{"defualt": "x"}`))
+	require.Equal(t, ExitUsage, code, out)
+	require.Contains(t, out, `the nearest known key is "default"`)
+	require.Len(t, c.history, 1, "a check must change nothing")
+}
--- a/pkg/ctl/diff.go
+++ b/pkg/ctl/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 )
@@ -31,9 +32,45 @@
 		}
 		lines = append(lines, diffValues(name, flattenClass(before), after)...)
 	}
+	lines = append(lines, diffRoutes(from, to)...)
 	return append(lines, diffTeams(from, to)...)
 }
 
+// diffRoutes lists the changes of routes.
+func diffRoutes(from, to *clusterconfig.Document) []string {
+	routes := func(d *clusterconfig.Document) map[string]clusterconfig.Route {
+		m := map[string]clusterconfig.Route{}
+		for _, r := range d.Routes {
+			m[r.Database] = r
+		}
+		return m
+	}
+	before, after := routes(from), routes(to)
+	names := maps.Clone(before)
+	maps.Copy(names, after)
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		was, is := before[name], after[name]
+		switch {
+		case is.Database == "":
+			lines = append(lines, fmt.Sprintf("route %s: removed; its callers are refused", name))
+		case was.Database == "":
+			lines = append(lines, fmt.Sprintf("route %s: added", name))
+		case was != is:
+			lines = append(lines, fmt.Sprintf("route %s: %s -> %s", name, routeText(was), routeText(is)))
+		}
+	}
+	return lines
+}
+
+func routeText(r clusterconfig.Route) string {
+	text := fmt.Sprintf("service %s, class %s, timeout %v", r.Service, r.Class, time.Duration(r.Timeout))
+	if r.Public {
+		text += ", public"
+	}
+	return text
+}
+
 // diffTeams lists the changes of teams. Of keys only numbers are shown.
 func diffTeams(from, to *clusterconfig.Document) []string {
 	var lines []string
