teamlimit: operations wait for a new keeper instead of being refused

Cause: a new keeper knows nothing of what was granted and must begin with empty buckets; its "no token yet" looked like a used-up limit.

TestOperationsWaitForANewKeeper.

--- a/pkg/teamlimit/keeper.go
+++ b/pkg/teamlimit/keeper.go
@@ -23,6 +23,9 @@
 	Validity = 250 * time.Millisecond
 	// maxQuotedWait bounds the wait that a refused request is told.
 	maxQuotedWait = 2 * time.Second
+	// newFor is how long a keeper counts as new. Operations then wait for tokens for as long as they wait for its first answer,
+	// since refusing them would take from teams that are within their limits.
+	newFor = 3 * time.Second
 	// minWait keeps VMs from asking more often than a token is worth.
 	minWait = 10 * time.Millisecond
 	// askAgainSoon is told while the keeper cannot grant for a reason that passes at once.
@@ -44,6 +47,8 @@
 	// Wait is the time after which the next token is free, 0 if all were granted. Return is when callers that are refused should
 	// come back: the keeper tells later times to those that it refuses later.
 	Wait, Return time.Duration
+	// New says that the keeper began a short time ago with empty buckets: it may lack tokens though the team is within its limit.
+	New bool
 }
 
 // Request is a message of a VM to the keeper of a shard.
@@ -85,6 +90,7 @@
 	detached map[string]time.Duration // guarded by mu; VM -> time at which it detached; earlier stamps count no more
 	buckets  map[string]*bucket       // guarded by mu; by team
 	share    float64                  // guarded by mu; after the last advance
+	began    time.Duration            // guarded by mu; when share was last 0
 	filled   float64                  // guarded by mu; integral of share over time, in seconds
 	advanced time.Duration            // guarded by mu; time of the last advance
 }
@@ -154,6 +160,9 @@
 			k.raise(team, b, share)
 		}
 	}
+	if share == 0 || k.share == 0 {
+		k.began = now
+	}
 	k.share, k.advanced = share, now
 }
 
@@ -199,7 +208,7 @@
 	}
 	b.refused += uint64(missing)
 	if k.share == 0 {
-		return Grant{Tokens: n, Wait: askAgainSoon, Return: askAgainSoon} // the fleet or this VM has just started
+		return Grant{Tokens: n, Wait: askAgainSoon, Return: askAgainSoon, New: true} // the fleet or this VM has just started
 	}
 	// While a fleet attaches to a new keeper the share is about to rise.
 	rate := limit.PerSecond * max(k.share, 0.5)
@@ -210,7 +219,7 @@
 	b.promise = min(max(b.promise, now+wait), now+maxQuotedWait)
 	back := b.promise - now
 	b.promise += seconds(float64(missing) / rate)
-	return Grant{Tokens: n, Wait: wait, Return: back}
+	return Grant{Tokens: n, Wait: wait, Return: back, New: now < k.began+newFor}
 }
 
 // seconds converts a number of seconds, up to an hour, to a duration.
--- a/pkg/teamlimit/keeper_test.go
+++ b/pkg/teamlimit/keeper_test.go
@@ -87,6 +87,31 @@
 	}
 }
 
+// While a keeper is new, operations must wait for tokens instead of being refused: a fleet that has restarted would refuse teams
+// within their limits. Later they must be refused at once.
+func TestOperationsWaitForANewKeeper(t *testing.T) {
+	k := newKeeperTest(1, "a")
+	require.True(t, k.attach("a", "team", 10).New)
+	for k.now < time.Second+newFor {
+		k.now += 100 * time.Millisecond
+		k.attach("a", "free", 1)
+	}
+	require.False(t, k.attach("a", "team", 100).New)
+
+	now := time.Second
+	p := NewPurse(func() time.Duration { return now }, func(string) {})
+	w, _ := p.Take(limited("team", 100, 50), 0, time.Second)
+	p.Receive(now, []Want{{Team: "team", Tokens: 1}}, []Grant{{Wait: 300 * time.Millisecond, New: true}})
+	require.Empty(t, w.done)
+	later, err := p.Take(limited("team", 100, 50), 0, time.Second)
+	require.NoError(t, err)
+	require.NotNil(t, later)
+	now += 400 * time.Millisecond
+	p.Receive(now, []Want{{Team: "team", Tokens: 2}}, []Grant{{Tokens: 1, Wait: 300 * time.Millisecond}})
+	require.NoError(t, <-w.done)
+	require.Error(t, <-later.done)
+}
+
 // Tokens that a VM holds must end soon, since a frozen VM spends them later than its keeper takes for granted.
 func TestTokensExpire(t *testing.T) {
 	now := time.Second
--- a/pkg/teamlimit/purse.go
+++ b/pkg/teamlimit/purse.go
@@ -210,7 +210,10 @@
 			t.waiting[0].done <- nil
 			t.waiting = t.waiting[1:]
 		}
-		if g.Wait > 0 {
+		switch {
+		case g.Wait > 0 && g.New:
+			t.refusedUntil = 0 // later operations may wait as well
+		case g.Wait > 0:
 			t.refuseWaiting(now, func(w *waiter) bool { return w.patient < now+g.Wait })
 		}
 	}
