--- a/pkg/teamlimit/keeper_test.go
+++ b/pkg/teamlimit/keeper_test.go
@@ -174,7 +174,7 @@
 			if !l.mayTurnTo(wanted, now) {
 				if random.IntN(4) == 0 {
 					keepers[l.keeper].Handle("vm", Request{Incarnation: l.incarnation, Detach: true})
-					l.counted()
+					l.countedOut()
 				}
 				continue
 			}
--- a/pkg/teamlimit/link.go
+++ b/pkg/teamlimit/link.go
@@ -41,8 +41,8 @@
 	l.incarnation, l.stamp, l.heard = r.Incarnation, r.Stamp, now
 }
 
-// counted notes that the keeper counts this VM no more: it has said so, or its process has ended.
-func (l *link) counted() { *l = link{} }
+// countedOut notes that the keeper counts this VM no more: it has said so, or its process has ended.
+func (l *link) countedOut() { *l = link{} }
 
 // renewalDue reports whether the keeper should hear from this VM though nothing is wanted.
 func (l *link) renewalDue(keeper string, now time.Duration) bool {
--- a/pkg/teamlimit/purse.go
+++ b/pkg/teamlimit/purse.go
@@ -60,18 +60,19 @@
 	return &Purse{clock: clock, wake: wake, teams: map[string]*pocket{}}
 }
 
-// Take takes a token for an operation of the team. It returns nil if there was one, an error if the keeper has said that there
-// is none within patience, or a waiter that gets one of both. A waiter that no longer waits must give up.
-func (p *Purse) Take(entry clusterconfig.Team, patience, limit time.Duration) (w *waiter, err error) {
+// Take takes a token for an operation of a team with a limit. Without a token and an error it returns a waiter, on which the
+// decision arrives: the keeper's, or a refusal after limit. A token that the keeper expects later than patience is not waited for.
+// An operation that no longer waits must give up.
+func (p *Purse) Take(team clusterconfig.Team, patience, limit time.Duration) (w *waiter, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, team := p.clock(), entry.Name
-	t := p.teams[team]
+	now := p.clock()
+	t := p.teams[team.Name]
 	if t == nil {
 		t = &pocket{windowStart: now}
-		p.teams[team] = t
+		p.teams[team.Name] = t
 	}
-	t.team = entry
+	t.team = team
 	t.countArrival(now)
 	if len(t.waiting) == 0 && t.spend(now) {
 		t.admitted++
@@ -81,9 +82,9 @@
 		t.refused++
 		return nil, t.refusal(now)
 	}
-	w = &waiter{team: team, done: make(chan error, 1), patient: now + patience, end: now + limit}
+	w = &waiter{team: team.Name, done: make(chan error, 1), patient: now + patience, end: now + limit}
 	t.waiting = append(t.waiting, w)
-	p.wake(team)
+	p.wake(team.Name)
 	return w, nil
 }
 
--- a/pkg/teamlimit/service.go
+++ b/pkg/teamlimit/service.go
@@ -271,7 +271,7 @@
 	}
 	_, err := s.send(shard, former, Request{Incarnation: l.incarnation, Detach: true}, detachTimeout)
 	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-		l.counted()
+		l.countedOut()
 		l.turnTo(keeper.Name)
 		return true
 	}
@@ -299,7 +299,7 @@
 	reply, err := s.send(shard, keeper, l.request(wants), requestTimeout)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			l.counted()
+			l.countedOut()
 		}
 		if log, ok := s.logLimit.Allow(s.options.Log, keeper.Name); ok {
 			log.WithError(err).WithField("vm", keeper.Name).Info("keeper of teams' limits does not answer; asking again")
