Teamlimit: a burst below one operation does not close a team

Callers would see: all operations of a team with burst 0, or with a rate and no burst below 1, refused as beyond the limit; with burst 1 for as long as a VM is not attached to the keeper. Found by a table of the smallest limits.

Cause: a bucket holds burst times share, tokens are whole, and a bucket below 1 never has one.

Change: a bucket that fills holds one token and what it gains in 100 ms. In a window of 5 s that is one operation or 2% of the rate more, where the burst is smaller.

Test: TestSmallBurstsGetTheirRate fails on (0 of 200 operations in 20 s of virtual time) and passes now (200, and the bound holds).

--- a/pkg/teamlimit/keeper.go
+++ b/pkg/teamlimit/keeper.go
@@ -28,10 +28,15 @@
 	newFor = 3 * time.Second
 	// minWait keeps VMs from asking more often than a token is worth.
 	minWait = 10 * time.Millisecond
+	// minFill is longer than a round trip between regions, and adds 2% of the rate to a window of 5 s at most.
+	minFill = 100 * time.Millisecond
 	// askAgainSoon is told while the keeper cannot grant for a reason that passes at once.
 	askAgainSoon = 20 * time.Millisecond
 )
 
+// roundingError is more than a level loses when it is raised in many small steps.
+const roundingError = 1e-6
+
 // Clock returns the time since some moment, of a clock that also counts the time for which the VM was suspended.
 type Clock func() time.Duration
 
@@ -184,10 +189,20 @@
 		b.level, b.filled = 0, k.filled
 		return
 	}
-	b.level = min(b.level+(k.filled-b.filled)*limit.PerSecond, limit.Burst*share)
+	b.level = min(b.level+(k.filled-b.filled)*limit.PerSecond, bucketSize(limit, share))
 	b.filled = k.filled
 }
 
+// bucketSize returns what a bucket holds at most. A bucket that fills at all holds one token, since tokens are whole, and what it gains
+// in minFill, since VMs ask for tokens at intervals: the burst of a team, or a share of it, may be less than either.
+func bucketSize(limit *clusterconfig.RateLimit, share float64) float64 {
+	size := limit.Burst * share
+	if share > 0 && limit.PerSecond > 0 {
+		return max(size, 1, limit.PerSecond*share*minFill.Seconds())
+	}
+	return size
+}
+
 // grant grants tokens to one VM. What is missing is told with the time at which it is free, each refused request a later one.
 func (k *Keeper) grant(now time.Duration, w Want) Grant {
 	limit, known := k.teams.Limit(w.Team)
@@ -199,7 +214,7 @@
 	}
 	b := k.bucketOf(w.Team)
 	k.raise(w.Team, b, k.share)
-	n := min(w.Tokens, int(math.Floor(b.level)))
+	n := min(w.Tokens, int(math.Floor(b.level+roundingError)))
 	b.level -= float64(n)
 	b.granted += uint64(n)
 	missing := w.Tokens - n
--- a/pkg/teamlimit/keeper_test.go
+++ b/pkg/teamlimit/keeper_test.go
@@ -74,6 +74,31 @@
 	require.Zero(t, k.attach("stranger", "team", 1).Tokens)
 }
 
+// A team whose burst is below one operation, stated so or by the share of the VMs that are attached, must still get its rate: the
+// smallest burst is not a closed team.
+func TestSmallBurstsGetTheirRate(t *testing.T) {
+	for _, c := range []struct {
+		rate, burst float64
+		attached    []string
+		want        int // operations in 20 s
+	}{
+		{10, 0, []string{"a", "b"}, 200}, {10, 0.5, []string{"a", "b"}, 200}, {257, 0, []string{"a", "b"}, 5140}, {10, 1, []string{"a"}, 100}, {0.5, 0.5, []string{"a", "b"}, 10},
+		{0, 5, []string{"a", "b"}, 0}, {0, 0, []string{"a"}, 0},
+	} {
+		k := newKeeperTest(1, "a", "b")
+		k.teams = fixedTeams{"team": {PerSecond: c.rate, Burst: c.burst}}
+		got := 0
+		for range 400 {
+			k.now += 50 * time.Millisecond
+			for _, vm := range c.attached {
+				got += k.attach(vm, "team", 20).Tokens
+			}
+		}
+		require.InDelta(t, c.want, got, 0.02*float64(c.want)+1, "%v", c)
+		require.LessOrEqual(t, float64(got), c.rate*20+max(c.burst, 1, c.rate*minFill.Seconds()), "%v", c)
+	}
+}
+
 // Refused callers must be told different times, in the order of their refusal, so that they do not return at once.
 func TestRefusedCallersReturnSpread(t *testing.T) {
 	k := newKeeperTest(1, "a")
