Clusterconfig: routes of like targets share a class and keep what is their own

A document of more than 256 KB, about 2,000 routes, was refused whole.

Cause: each different target became a class. A document holds 64 classes, since each costs a queue at each member, and routes beyond were left out.

A route then states its own target, consistency and age limit; timeout and deadline always were its own. Requests count by the target of their route. Documents have up to 4 MB, stored ones still 256 KB. A copy of an earlier build that may lack routes is refused.

--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -154,7 +154,7 @@
 			"send a unique "+HeaderOperationID+" of at most 128 bytes, so that the outcome can be looked up if the answer is lost, and an author of at most 128 bytes")
 		return change, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, clusterconfig.MaxDocumentBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, clusterconfig.MaxStoredBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		writeRequestError(w, http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the configuration document exceeds 256 KiB", "shorten the document")
--- a/pkg/admin/server_test.go
+++ b/pkg/admin/server_test.go
@@ -101,7 +101,7 @@
 		"no version":   {validDocument, validHeaders[2:], nil, 428, CodeBadRequest},
 		"no operation": {validDocument, validHeaders[:2], nil, 400, CodeBadRequest},
 		"invalid":      {`{"default": "b"}`, validHeaders, nil, 422, errkind.ConfigInvalid.Code},
-		"too large":    {strings.Repeat(" ", clusterconfig.MaxDocumentBytes+1), validHeaders, nil, 413, CodeBodyTooLarge},
+		"too large":    {strings.Repeat(" ", clusterconfig.MaxStoredBytes+1), validHeaders, nil, 413, CodeBodyTooLarge},
 		"conflict":     {validDocument, validHeaders, errkind.New(errkind.ConfigConflict, "version 7"), 409, errkind.ConfigConflict.Code},
 		"lost answer":  {validDocument, validHeaders, errkind.New(errkind.StoreOutcomeUnknown, "no answer"), 504, errkind.StoreOutcomeUnknown.Code},
 		"store down":   {validDocument, validHeaders, errkind.New(errkind.StoreUnavailable, "down"), 503, errkind.StoreUnavailable.Code},
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -41,13 +41,13 @@
 	recorderA, clockA := newTestRecorder("a")
 	recorderB, clockB := newTestRecorder("b")
 	for range 96 {
-		recorderA.Record("order", 10*time.Millisecond, true, CauseOther)
+		recorderA.Record("order", 0, 10*time.Millisecond, true, CauseOther)
 	}
-	recorderA.Record("order", 200*time.Millisecond, true, CauseQueue) // answered too late
-	recorderA.Record("order", time.Millisecond, false, CauseRefused)
-	recorderB.Record("order", time.Millisecond, false, CauseFailover)
-	recorderB.Record("order", time.Millisecond, false, CauseFailover)
-	recorderB.Record("unknown class", time.Millisecond, true, CauseOther)
+	recorderA.Record("order", 0, 200*time.Millisecond, true, CauseQueue) // answered too late
+	recorderA.Record("order", 0, time.Millisecond, false, CauseRefused)
+	recorderB.Record("order", 0, time.Millisecond, false, CauseFailover)
+	recorderB.Record("order", 0, time.Millisecond, false, CauseFailover)
+	recorderB.Record("unknown class", 0, time.Millisecond, true, CauseOther)
 	clockA.current = clockA.current.Add(150 * time.Second)
 	clockB.current = clockA.current
 	report := Merge(clockA.current, []*Snapshot{snapshotViaJSON(t, recorderA), snapshotViaJSON(t, recorderB)}, []string{"c"})
@@ -74,7 +74,7 @@
 // Counts must leave a window when their time is over, not earlier and not later.
 func TestWindowsSlide(t *testing.T) {
 	recorder, clock := newTestRecorder("a")
-	recorder.Record("order", time.Millisecond, true, CauseOther)
+	recorder.Record("order", 0, time.Millisecond, true, CauseOther)
 	totals := func(after time.Duration) (totalByWindow [3]uint64) {
 		clock.current = time.Unix(1_000_000, 0).Add(after)
 		for i, w := range snapshotViaJSON(t, recorder).Classes[0].Windows {
@@ -94,7 +94,7 @@
 // One damaged snapshot must not make the report of the other daemons wrong or impossible.
 func TestMergeLeavesOutDamagedSnapshot(t *testing.T) {
 	recorder, clock := newTestRecorder("a")
-	recorder.Record("order", time.Millisecond, true, CauseOther)
+	recorder.Record("order", 0, time.Millisecond, true, CauseOther)
 	damaged := snapshotViaJSON(t, recorder)
 	damaged.VM, damaged.Classes[0].Windows[1].Latency = "b", "!"
 	report := Merge(clock.current, []*Snapshot{snapshotViaJSON(t, recorder), damaged}, nil)
@@ -110,7 +110,7 @@
 	for range 8 {
 		wg.Go(func() {
 			for range 1000 {
-				recorder.Record("order", time.Millisecond, true, CauseOther)
+				recorder.Record("order", 0, time.Millisecond, true, CauseOther)
 			}
 		})
 	}
@@ -124,7 +124,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			recorder.Record("order", 3*time.Millisecond, true, CauseOther)
+			recorder.Record("order", 0, 3*time.Millisecond, true, CauseOther)
 		}
 	})
 }
--- a/pkg/burn/recorder.go
+++ b/pkg/burn/recorder.go
@@ -230,9 +230,10 @@
 	}
 }
 
-// Record counts one request. ok is false if the request failed; cause is used only if the request failed or its latency
-// missed the target. Requests of classes that are not configured are not counted.
-func (r *Recorder) Record(class string, latency time.Duration, ok bool, cause Cause) {
+// Record counts one request with the target that it has; 0 stands for that of its class, in which other requests may have others.
+// ok is false if the request failed; cause is used only if the request failed or its latency missed the target. Requests of
+// classes that are not configured are not counted.
+func (r *Recorder) Record(class string, target, latency time.Duration, ok bool, cause Cause) {
 	r.mu.RLock()
 	state := r.classes[class]
 	r.mu.RUnlock()
@@ -242,7 +243,10 @@
 	elapsed := r.now().Sub(r.started)
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	good := ok && latency <= state.class.Latency
+	if target <= 0 {
+		target = state.class.Latency
+	}
+	good := ok && latency <= target
 	for i := range state.rings {
 		state.rings[i].advance(elapsed)
 		state.rings[i].currentBucket().add(latency, good, cause)
--- a/pkg/clusterconfig/clusterconfig.go
+++ b/pkg/clusterconfig/clusterconfig.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// MaxDocumentBytes is the largest size of a document, since a row of the table service holds no more.
-	MaxDocumentBytes = 256 << 10
-	// MaxClasses is the largest number of classes, since the scheduler keeps a queue per class and member.
+	// MaxDocumentBytes is the largest size of a document that a daemon takes. Platforms that have a document of their own may
+	// hold several thousand routes in it.
+	MaxDocumentBytes = 4 << 20
+	// MaxStoredBytes is the largest size of a document that is stored, since a row of the table service holds no more.
+	MaxStoredBytes = 256 << 10
+	// MaxClasses is the largest number of classes, since the scheduler keeps a queue per class and member. Routes whose targets
+	// differ may share a class, see Route.
 	MaxClasses = 64
 	// MinLatency and MaxLatency limit the target latency of a class. A graceful shutdown waits as long as the longest
 	// target.
@@ -90,12 +94,24 @@
 
 // Route assigns a service and a class to the sessions that connect with a database name. It is for callers whose protocol
 // cannot name a service or class.
+//
+// Routes of one class share its rank and its queue at each member. What a promise depends on may be the route's own: Target and
+// Reads, where they are stated, replace what the class says.
 type Route struct {
 	Database string   `json:"database"`
 	Service  string   `json:"service"`
 	Class    string   `json:"class"`
 	Timeout  Duration `json:"timeout"`          // longest time from the arrival of a statement to its answer
 	Public   bool     `json:"public,omitempty"` // callers need no key
+	Target   Duration `json:"target,omitzero"`  // target latency; absent: that of the class
+	Reads    Reads    `json:"reads,omitzero"`   // absent: as the class says
+}
+
+// Reads says what the reads of a route must see. The zero value states nothing: then the class says it, also whether there is a
+// maximum age.
+type Reads struct {
+	Consistency Consistency   `json:"consistency"`
+	MaxAge      unit.AgeLimit `json:"maxAge,omitzero"` // absent: no limit
 }
 
 // PrimaryReads reports whether only a confirmed primary may serve the reads of a class with AccessStatement: they must see
@@ -104,6 +120,18 @@
 	return c.Consistency == ConsistencyPrimary || c.MaxAge == unit.NoAge
 }
 
+// ClassOf returns the class of a route of the document, with the route's own target and reads in place of the class's.
+func (d *Document) ClassOf(r Route) Class {
+	c, _ := d.Class(r.Class) // a valid document holds the class of each route
+	if r.Target > 0 {
+		c.Target.Latency = r.Target
+	}
+	if r.Reads != (Reads{}) {
+		c.Consistency, c.MaxAge = r.Reads.Consistency, r.Reads.MaxAge
+	}
+	return c
+}
+
 // HasWriteAccess reports whether all units of the class may write.
 func (c Class) HasWriteAccess() bool { return c.Access == AccessWrite }
 
@@ -203,22 +231,28 @@
 	if err := d.validateTeams(); err != nil {
 		return errkind.Wrap(errkind.ConfigInvalid, err, "teams are not valid")
 	}
-	return d.validateRoutes(names)
+	return d.validateRoutes()
 }
 
-func (d *Document) validateRoutes(classes map[string]bool) error {
-	databases := map[string]bool{}
+func (d *Document) validateRoutes() error {
+	databases, classes := map[string]bool{}, map[string]*Class{}
+	for i := range d.Classes {
+		classes[d.Classes[i].Name] = &d.Classes[i]
+	}
 	for i, r := range d.Routes {
 		switch {
 		case r.Database == "" || r.Service == "":
 			return errkind.New(errkind.ConfigInvalid, "routes[%d]: database and service must be named", i)
 		case databases[r.Database]:
 			return errkind.New(errkind.ConfigInvalid, "routes[%d]: database %q has two routes", i, r.Database)
-		case !classes[r.Class]:
+		case classes[r.Class] == nil:
 			return errkind.New(errkind.ConfigInvalid, "routes[%d]: %q is not the name of a class", i, r.Class)
 		case r.Timeout <= 0:
 			return errkind.New(errkind.ConfigInvalid, "routes[%d]: timeout must be above 0", i)
 		}
+		if err := r.validateOwn(*classes[r.Class]); err != nil {
+			return errkind.New(errkind.ConfigInvalid, "routes[%d]: %v", i, err)
+		}
 		databases[r.Database] = true
 	}
 	if d.IdleTransaction < 0 {
@@ -227,6 +261,23 @@
 	return nil
 }
 
+// validateOwn checks what the route states in place of its class.
+func (r Route) validateOwn(class Class) error {
+	switch {
+	case r.Target < 0 || r.Target > 0 && (r.Target < Duration(MinLatency) || r.Target > Duration(MaxLatency)):
+		return fmt.Errorf("target %v must be between %v and %v", time.Duration(r.Target), MinLatency, MaxLatency)
+	case r.Reads == Reads{}:
+		return nil
+	case class.Access != AccessStatement:
+		return fmt.Errorf("reads may be set only for a class with access statement")
+	case r.Reads.Consistency != ConsistencyPrimary && r.Reads.Consistency != ConsistencyBounded && r.Reads.Consistency != ConsistencySession:
+		return fmt.Errorf("reads.consistency %q must be primary, bounded or session", r.Reads.Consistency)
+	case r.Reads.MaxAge < 0:
+		return fmt.Errorf("reads.maxAge must not be negative")
+	}
+	return nil
+}
+
 func (c Class) validate() error {
 	if c.Name == "" || len(c.Name) > maxNameBytes {
 		return fmt.Errorf("name must have 1 to %d bytes", maxNameBytes)
--- a/pkg/configcheck/configcheck.go
+++ b/pkg/configcheck/configcheck.go
@@ -88,7 +88,7 @@
 func (c *checker) checkRoutes() {
 	for i, r := range c.doc.Routes {
 		path := fmt.Sprintf("routes[%d]", i)
-		class, _ := c.doc.Class(r.Class)
+		class := c.doc.ClassOf(r)
 		if r.Timeout < class.Target.Latency {
 			c.add("routes", r.Database, path+".timeout", "raise the timeout, or lower the class's target",
 				"statements of %q end after %v, before the target of %v of class %q", r.Database, time.Duration(r.Timeout),
--- a/pkg/configsync/apply.go
+++ b/pkg/configsync/apply.go
@@ -99,8 +99,8 @@
 	if err != nil {
 		return true, nil, errkind.Wrap(errkind.ConfigInvalid, err, "configuration document cannot be encoded for the store")
 	}
-	if len(raw) > clusterconfig.MaxDocumentBytes {
-		return true, nil, errkind.New(errkind.ConfigInvalid, "stored configuration document has %d bytes, at most %d are allowed", len(raw), clusterconfig.MaxDocumentBytes)
+	if len(raw) > clusterconfig.MaxStoredBytes {
+		return true, nil, errkind.New(errkind.ConfigInvalid, "stored configuration document has %d bytes, at most %d are allowed", len(raw), clusterconfig.MaxStoredBytes)
 	}
 	putCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/pkg/configsync/spread.go
+++ b/pkg/configsync/spread.go
@@ -109,7 +109,7 @@
 	if len(reply.Document) == 0 || !s.isNews(reply.Document) {
 		return reply, nil
 	}
-	if err := checkAgesStated(reply); err != nil {
+	if err := checkCopy(reply); err != nil {
 		return wire.ConfigReply{}, err
 	}
 	return reply, s.installIfNewer(reply.Document)
@@ -123,18 +123,21 @@
 	return !bytes.Equal(raw, s.copy.Raw())
 }
 
-// checkAgesStated refuses a peer's copy in which an absent age may stand for an age of 0, because the peer's build does not
-// tell them apart. The table service has the document as its author wrote it.
-func checkAgesStated(reply wire.ConfigReply) error {
-	if reply.AgesStated {
+// checkCopy refuses a copy of a peer of an earlier build that may say something else than the document of its author, which the
+// table service has: an absent age may stand for an age of 0, and routes beyond the limit of classes may be left out.
+func checkCopy(reply wire.ConfigReply) error {
+	if reply.AgesStated && reply.AllRoutes {
 		return nil
 	}
 	doc, err := clusterconfig.Parse(reply.Document)
 	if err != nil {
 		return err
 	}
+	if !reply.AllRoutes && len(doc.Routes) > 0 && len(doc.Classes) == clusterconfig.MaxClasses {
+		return errkind.New(errkind.ConfigInvalid, "the copy of a peer of an earlier build may lack routes")
+	}
 	for _, c := range doc.Classes {
-		if c.Access == clusterconfig.AccessStatement && c.Consistency != clusterconfig.ConsistencyPrimary && !c.MaxAge.Stated() {
+		if !reply.AgesStated && c.Access == clusterconfig.AccessStatement && c.Consistency != clusterconfig.ConsistencyPrimary && !c.MaxAge.Stated() {
 			return errkind.New(errkind.ConfigInvalid, "the copy of a peer of an earlier build leaves the maximum age of class %q open", c.Name)
 		}
 	}
@@ -148,7 +151,7 @@
 		return nil, err
 	}
 	s.ObserveVersion(request.Have)
-	reply := wire.ConfigReply{AgesStated: true}
+	reply := wire.ConfigReply{AgesStated: true, AllRoutes: true}
 	reply.Current = request.Uptime > 0 && s.ensureReadWithin(ctx, request.Uptime)
 	reply.TurnedAway = request.Uptime > 0 && !reply.Current && s.wasTurnedAwayWithin(request.Uptime)
 	s.mu.Lock()
--- a/pkg/configsync/start_test.go
+++ b/pkg/configsync/start_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
@@ -184,8 +185,19 @@
 		{"read", ``}: false,
 	} {
 		document := fmt.Appendf(nil, class, fields[0], fields[1])
-		require.Equal(t, refused, checkAgesStated(wire.ConfigReply{Document: document}) != nil, "%v", fields)
-		require.NoError(t, checkAgesStated(wire.ConfigReply{Document: document, AgesStated: true}))
+		require.Equal(t, refused, checkCopy(wire.ConfigReply{Document: document}) != nil, "%v", fields)
+		require.NoError(t, checkCopy(wire.ConfigReply{Document: document, AgesStated: true}))
+	}
+	for classes, refused := range map[int]bool{1: false, clusterconfig.MaxClasses - 1: false, clusterconfig.MaxClasses: true} {
+		doc := clusterconfig.Document{Version: 1, Default: "c0", Routes: []clusterconfig.Route{{Database: "d", Service: "s", Class: "c0", Timeout: 1}}}
+		for i := range classes {
+			doc.Classes = append(doc.Classes, clusterconfig.Class{Name: fmt.Sprintf("c%d", i), Rank: "batch", Access: clusterconfig.AccessStatement,
+				Consistency: clusterconfig.ConsistencyPrimary, Target: clusterconfig.Target{Latency: clusterconfig.Duration(time.Second), Reliability: 0.9}})
+		}
+		raw, err := doc.Marshal()
+		require.NoError(t, err)
+		require.Equal(t, refused, checkCopy(wire.ConfigReply{Document: raw, AgesStated: true}) != nil, "%d classes, routes beyond may be left out", classes)
+		require.NoError(t, checkCopy(wire.ConfigReply{Document: raw, AgesStated: true, AllRoutes: true}))
 	}
 }
 
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -225,7 +225,7 @@
 	c.vms = append(c.vms, admin.VM{Name: "c", AdminAddr: unreachableAddr})
 	for _, d := range daemons {
 		d.burn.Configure([]burn.Class{{Name: "order", Rank: "urgent", Latency: time.Second, Reliability: 0.99}})
-		d.burn.Record("order", time.Millisecond, true, burn.CauseOther)
+		d.burn.Record("order", 0, time.Millisecond, true, burn.CauseOther)
 	}
 	code, out := c.run(t, "burn")
 	require.Equal(t, ExitOK, code, out)
--- a/pkg/ctl/diff.go
+++ b/pkg/ctl/diff.go
@@ -65,6 +65,12 @@
 
 func routeText(r clusterconfig.Route) string {
 	text := fmt.Sprintf("service %s, class %s, timeout %v", r.Service, r.Class, time.Duration(r.Timeout))
+	if r.Target > 0 {
+		text += fmt.Sprintf(", target %v", time.Duration(r.Target))
+	}
+	if r.Reads != (clusterconfig.Reads{}) {
+		text += fmt.Sprintf(", %s reads of age %v", r.Reads.Consistency, r.Reads.MaxAge)
+	}
 	if r.Public {
 		text += ", public"
 	}
--- a/pkg/daemon/observe.go
+++ b/pkg/daemon/observe.go
@@ -25,6 +25,7 @@
 // observation is one finished request of a caller.
 type observation struct {
 	class   string
+	target  time.Duration // target latency of the request, which may be that of its route
 	outcome errkind.Outcome
 	code    string
 	latency time.Duration
@@ -59,8 +60,8 @@
 }
 
 // observe queues the observation of one request. It does not block.
-func (m *unitMetrics) observe(class string, outcome errkind.Outcome, code string, latency time.Duration) {
-	_ = m.ring.Put(context.Background(), observation{class, outcome, code, latency})
+func (m *unitMetrics) observe(class string, target time.Duration, outcome errkind.Outcome, code string, latency time.Duration) {
+	_ = m.ring.Put(context.Background(), observation{class, target, outcome, code, latency})
 }
 
 // Start begins to record observations.
@@ -108,6 +109,6 @@
 func (m *unitMetrics) record(o observation) {
 	m.latency.WithLabelValues(o.class, o.outcome.String(), o.code).Observe(o.latency.Seconds())
 	if cause, counted := burn.CauseOf(o.code); counted {
-		m.recorder.Record(o.class, o.latency, o.outcome == errkind.OutcomeDone, cause)
+		m.recorder.Record(o.class, o.target, o.latency, o.outcome == errkind.OutcomeDone, cause)
 	}
 }
--- a/pkg/frontend/execute.go
+++ b/pkg/frontend/execute.go
@@ -66,7 +66,7 @@
 	class, err := c.fillUnit()
 	if err != nil {
 		if class.Name != "" {
-			c.server.options.ObserveRequest(class.Name, errkind.OutcomeNotRun, errkind.Of(err).Code, 0)
+			c.server.options.ObserveRequest(class.Name, class.Target, errkind.OutcomeNotRun, errkind.Of(err).Code, 0)
 		}
 		w.out = appendErrorResponse(w.out, "ERROR", err)
 		c.dropFailedParses(0)
@@ -85,7 +85,7 @@
 	code := observedCode(ctx, res)
 	c.adoptTransaction(u, txBefore, res)
 	c.finishUnit(cancel)
-	c.server.options.ObserveRequest(class.Name, res.Outcome, code, time.Since(start))
+	c.server.options.ObserveRequest(class.Name, class.Target, res.Outcome, code, time.Since(start))
 	c.dropFailedParses(w.sink.namedParseCount(w.assembly.parsesUnnamed))
 	incomplete := w.sink.err != nil || w.sink.inMessage()
 	if w.sink.writeFailed || res.Err == nil && incomplete || !w.sink.dropPart() {
--- a/pkg/frontend/options.go
+++ b/pkg/frontend/options.go
@@ -95,7 +95,7 @@
 	DrainGrace     time.Duration     // how long idle callers stay connected while draining
 	// ObserveRequest is called after each unit that needs the executor. code is the code of the error kind with which the
 	// system ended the unit, or empty.
-	ObserveRequest func(class string, outcome errkind.Outcome, code string, latency time.Duration)
+	ObserveRequest func(class string, target time.Duration, outcome errkind.Outcome, code string, latency time.Duration)
 	// ForwardCancel forwards cancel requests whose cancel key this VM did not give out. If it is nil, they are dropped.
 	ForwardCancel func(pid, secret uint32)
 }
@@ -118,7 +118,7 @@
 		o.Log = logrus.StandardLogger()
 	}
 	if o.ObserveRequest == nil {
-		o.ObserveRequest = func(string, errkind.Outcome, string, time.Duration) {}
+		o.ObserveRequest = func(string, time.Duration, errkind.Outcome, string, time.Duration) {}
 	}
 	if o.Teams == nil {
 		o.Teams = noTeams{}
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -149,12 +149,11 @@
 	if !ok {
 		return Policy{}, errkind.New(errkind.UnknownService, "database %q has no route in configuration version %d", c.database, doc.Version)
 	}
-	class, _ := doc.Class(r.Class) // a valid document holds the class of each route
 	t, err := team.Identify(doc, r, c.key)
 	if err != nil {
 		return Policy{}, err
 	}
-	return Policy{Route: r, Class: class, Team: t}, nil
+	return Policy{Route: r, Class: doc.ClassOf(r), Team: t}, nil
 }
 
 // nextStatement waits for a statement. A transaction that idles longer than the configuration allows is rolled back, and
@@ -259,7 +258,7 @@
 	if res.Err != nil {
 		code = errkind.Of(res.Err).Code
 	}
-	c.server.opts.ObserveRequest(u.Class, res.Outcome, code, time.Since(start))
+	c.server.opts.ObserveRequest(u.Class, time.Duration(c.session.policy.Class.Target.Latency), res.Outcome, code, time.Since(start))
 	return a
 }
 
--- a/pkg/session/drain_test.go
+++ b/pkg/session/drain_test.go
@@ -41,7 +41,7 @@
 			return doc
 		},
 		DrainGrace: 2 * time.Second, RecordFailure: func(requestlog.Entry) {},
-		ObserveRequest: func(string, errkind.Outcome, string, time.Duration) {}})
+		ObserveRequest: func(string, time.Duration, errkind.Outcome, string, time.Duration) {}})
 	t.Cleanup(d.close)
 	go func() { _ = d.Serve(d.listener) }()
 	return d
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -59,7 +59,7 @@
 	// decision, and up to patience for the team's rate limit. Nil admits every operation.
 	Admit func(ctx context.Context, team clusterconfig.Team, patience, limit time.Duration) error
 	// ObserveRequest is called after each request that was executed as a unit.
-	ObserveRequest func(class string, outcome errkind.Outcome, code string, latency time.Duration)
+	ObserveRequest func(class string, target time.Duration, outcome errkind.Outcome, code string, latency time.Duration)
 	// RecordFailure is called for each statement that failed and each session that was refused. It must not block.
 	RecordFailure func(requestlog.Entry)
 	Log           logrus.FieldLogger
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -295,7 +295,7 @@
 	s := NewServer(Options{Protocol: func(net.Conn, *membudget.Holder) CallerConn { return f }, Executor: e, Log: log, MaxConnections: 4,
 		Document: func() *clusterconfig.Document { return doc }, DrainGrace: 2 * time.Second,
 		RecordFailure:  func(requestlog.Entry) {},
-		ObserveRequest: func(string, errkind.Outcome, string, time.Duration) {}})
+		ObserveRequest: func(string, time.Duration, errkind.Outcome, string, time.Duration) {}})
 	a, b := net.Pipe()
 	t.Cleanup(func() { a.Close(); b.Close() })
 	l := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -172,13 +172,17 @@
 	// AgesStated says that the document tells a stated age of 0 from an absent one. Peers of earlier builds do not.
 	AgesStated bool
 
+	// AllRoutes says that the document holds all routes of its author's. Peers of earlier builds leave out those with more
+	// different targets than there may be classes.
+	AllRoutes bool
+
 	// Packed is the document as Pack returns it, in place of Document, for requesters that take it.
 	Packed []byte
 }
 
 // ConfigReplyBody returns the encoded message in a slice of its own.
 func (e *Encoder) ConfigReplyBody(c ConfigReply) ([]byte, error) {
-	e.beginBody(7)
+	e.beginBody(8)
 	e.uint(c.Version)
 	e.bytes(c.Document)
 	e.boolean(c.Current)
@@ -186,6 +190,7 @@
 	e.boolean(c.TurnedAway)
 	e.boolean(c.AgesStated)
 	e.bytes(c.Packed)
+	e.boolean(c.AllRoutes)
 	return bytes.Clone(e.buf.Bytes()), e.err
 }
 
@@ -208,6 +213,9 @@
 	if d.r.Len() > 0 {
 		c.Packed = d.bytes()
 	}
+	if d.r.Len() > 0 {
+		c.AllRoutes = d.uint() != 0
+	}
 	return c, d.end()
 }
 
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -132,10 +132,10 @@
 		require.NoError(t, err)
 		require.Equal(t, want, got)
 	}
-	body, _ := e.ConfigReplyBody(ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true, AgesStated: true, Packed: []byte("x")})
+	body, _ := e.ConfigReplyBody(ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true, AgesStated: true, AllRoutes: true, Packed: []byte("x")})
 	c, err := d.ConfigReply(body)
 	require.NoError(t, err)
-	require.Equal(t, ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true, AgesStated: true, Packed: []byte("x")}, c)
+	require.Equal(t, ConfigReply{Version: 3, Document: []byte("{}"), Known: 4, TurnedAway: true, AgesStated: true, AllRoutes: true, Packed: []byte("x")}, c)
 	for _, want := range []ViewRequest{{Service: "s"}, {Service: "s", Relay: true}, {Service: "s", Relay: true, Seen: 1 << 31},
 		{Service: "s", Have: 1 << 31}} {
 		body, _ = e.ViewRequestBody(want)
--- a/test/fault/badinput_test.go
+++ b/test/fault/badinput_test.go
@@ -157,7 +157,7 @@
 	"unknown path":  {"GET /v1/none HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "404"},
 	"bad document":  {"POST /v1/config HTTP/1.1\r\nHost: x\r\nConnection: close\r\nIf-Match: 1\r\nOperation-Id: x\r\nContent-Length: 2\r\n\r\n{]", "422"},
 	"long document": {fmt.Sprintf("POST /v1/config HTTP/1.1\r\nHost: x\r\nConnection: close\r\nIf-Match: 1\r\nOperation-Id: x\r\nContent-Length: %d\r\n\r\n%s",
-		clusterconfig.MaxDocumentBytes+1, strings.Repeat(" ", clusterconfig.MaxDocumentBytes+1)), "413"},
+		clusterconfig.MaxStoredBytes+1, strings.Repeat(" ", clusterconfig.MaxStoredBytes+1)), "413"},
 }
 
 // TestBadInput guards against bad input that the daemon does not refuse clearly or that harms other connections. It
