Configuration: operators see what daemons cannot use of it

Operators saw one warning with names of routes, teams and keys that were left out did not show at all, and a document that was refused as a whole showed in no metric and no command.

--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -92,6 +92,8 @@
 	Started           time.Time     `json:"started"`
 	Draining          bool          `json:"draining"`
 	ConfigVersion     uint64        `json:"configVersion"`
+	ConfigIgnored     []string      `json:"configIgnored,omitempty"` // entries of the operators' document that cannot be used
+	ConfigRefused     string        `json:"configRefused,omitempty"` // why the row read last is refused as a whole
 	CallerConnections int           `json:"callerConnections"`
 	MembersOwned      []string      `json:"membersOwned"`
 	Ready             bool          `json:"ready"`  // filled in by the server
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -50,7 +50,10 @@
 	recorderB.Record("unknown class", 0, time.Millisecond, true, CauseOther)
 	clockA.current = clockA.current.Add(150 * time.Second)
 	clockB.current = clockA.current
-	report := Merge(clockA.current, []*Snapshot{snapshotViaJSON(t, recorderA), snapshotViaJSON(t, recorderB)}, []string{"c"})
+	snapshots := []*Snapshot{snapshotViaJSON(t, recorderA), snapshotViaJSON(t, recorderB)}
+	snapshots[0].Ignored, snapshots[1].Ignored = []string{"routes[3]", "routes[1]"}, []string{"routes[1]"}
+	report := Merge(clockA.current, snapshots, []string{"c"})
+	require.Equal(t, []string{"routes[1]", "routes[3]"}, report.Ignored, "what is not counted must be said once")
 
 	require.Equal(t, []string{"a", "b"}, report.Answered)
 	require.Equal(t, []string{"c"}, report.Missing)
@@ -68,6 +71,8 @@
 	require.Contains(t, table.String(), "No answer from c")
 	require.NoError(t, report.WriteHTML(&html))
 	require.Contains(t, html.String(), "failover: 2")
+	require.Contains(t, table.String(), "routes[3]")
+	require.Contains(t, html.String(), "routes[3]")
 	require.NotContains(t, html.String(), "http", "the page must not load other resources")
 }
 
--- a/pkg/burn/render.go
+++ b/pkg/burn/render.go
@@ -33,6 +33,9 @@
 	if len(r.Missing) > 0 {
 		fmt.Fprintf(w, "No answer from %s: their requests are not counted\n", joinNames(r.Missing))
 	}
+	for _, entry := range r.Ignored {
+		fmt.Fprintf(w, "Not counted, since the configuration's entry cannot be used: %s\n", entry)
+	}
 	for _, report := range r.Windows {
 		fmt.Fprintf(w, "\nLast %s: the counts cover %s of this time over all daemons\n", report.Window, percent(report.Covered))
 		fmt.Fprintln(w, "CLASS\tRANK\tTARGET\tREQUESTS\tMET\tBURN RATE\tBUDGET LEFT\tP50\tP99\tMAIN CAUSE")
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -15,6 +15,7 @@
 	Missing  []string       `json:"missing"`  // VMs that did not answer or whose answer could not be read
 	Earliest time.Time      `json:"earliest"` // earliest start of the counts included
 	Windows  []WindowReport `json:"windows"`
+	Ignored  []string       `json:"ignored,omitempty"` // entries of the configuration that cannot be used, by any daemon
 }
 
 // WindowReport is the report of one window.
@@ -63,12 +64,15 @@
 	}
 	for _, s := range readable {
 		r.Answered = append(r.Answered, s.VM)
+		r.Ignored = append(r.Ignored, s.Ignored...)
 		if r.Earliest.IsZero() || s.Started.Before(r.Earliest) {
 			r.Earliest = s.Started
 		}
 	}
 	slices.Sort(r.Answered)
 	slices.Sort(r.Missing)
+	slices.Sort(r.Ignored)
+	r.Ignored = slices.Compact(r.Ignored)
 	for i, w := range windows {
 		r.Windows = append(r.Windows, WindowReport{
 			Window: w.name, Covered: coveredShare(w, readable, len(r.Missing)), Classes: classReports(sums, i),
--- a/pkg/burn/snapshot.go
+++ b/pkg/burn/snapshot.go
@@ -15,6 +15,7 @@
 	Started time.Time       `json:"started"` // time at which counting began
 	Taken   time.Time       `json:"taken"`
 	Classes []ClassSnapshot `json:"classes"`
+	Ignored []string        `json:"ignored,omitempty"` // entries of the configuration that cannot be used, so that nothing counts for them
 }
 
 // ClassSnapshot holds the counts of one class in all windows.
--- a/pkg/clusterconfig/clusterconfig.go
+++ b/pkg/clusterconfig/clusterconfig.go
@@ -150,6 +150,9 @@
 	// KeysRequired means that callers of routes that are not public must present a key of a team.
 	KeysRequired bool   `json:"keysRequired,omitempty"`
 	Teams        []Team `json:"teams,omitempty"`
+	// Ignored names entries of the author's document that no daemon can use, each with the reason. It is set where a platform has a
+	// document of its own; entries of this document are never ignored.
+	Ignored []string `json:"ignored,omitempty"`
 
 	// Indexes of Routes by database and of Teams by hash of a key and by name; nil if not built.
 	routeOf, teamOfKey, teamAt map[string]int
--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -121,6 +121,7 @@
 	ready            bool      // the copy is known not to be older than a version that was in force; see Ready
 	changed          chan struct{}
 	storeReads       uint64
+	refusal          string // why the row that was read last cannot be used; "" if it can
 }
 
 // offer is a version that a peer announced.
@@ -208,6 +209,30 @@
 	return s.storeReads
 }
 
+// Problems returns what an operator should know of the configuration: the entries that are ignored, and that the row which this VM
+// has read last is refused as a whole.
+func (s *Sync) Problems() (ignored []string, refusal string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce != nil {
+		ignored = s.inForce.Ignored
+	}
+	return ignored, s.refusal
+}
+
+// noteRow records whether the row that was read can be used. A read that failed for other reasons says nothing about the row.
+func (s *Sync) noteRow(err error) {
+	if err != nil && !errkind.Is(err, errkind.ConfigInvalid) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusal = ""
+	if err != nil {
+		s.refusal = err.Error()
+	}
+}
+
 // installIfNewer parses the stored form of a document and keeps the document if it is newer than the newest one known. The
 // document comes into force at once, or after hold if it replaces one by which callers may be served.
 func (s *Sync) installIfNewer(raw []byte) error {
@@ -330,13 +355,15 @@
 	start := time.Now()
 	row, err := s.readRow(ctx, watch)
 	if err != nil {
+		s.noteRow(err)
 		s.noteFailedRead(start, err)
 		return err
 	}
 	if row.Value != nil {
-		if err := s.installIfNewer(row.Value); err != nil {
-			return err
-		}
+		err = s.installIfNewer(row.Value)
+	}
+	if s.noteRow(err); err != nil {
+		return err
 	}
 	s.mu.Lock()
 	if start.After(s.lastRead) {
--- a/pkg/configsync/configsync_test.go
+++ b/pkg/configsync/configsync_test.go
@@ -477,3 +477,34 @@
 func (m aloneMembership) Self() platform.VM     { return m.self }
 func (m aloneMembership) IsReader() bool        { return true }
 func (m aloneMembership) Listed() []platform.VM { return nil }
+
+// An operator must learn that the newest document is refused as a whole, and which entries are ignored. A read that fails for
+// other reasons must not hide that, and a good document must end it.
+func TestProblemsOfTheConfiguration(t *testing.T) {
+	f := newFleet(t, 1)
+	s := f.syncs[f.vms[0].Name]
+	read := func(doc *clusterconfig.Document, version uint64) error {
+		doc.Version, doc.OperationID = version, fmt.Sprint(version)
+		raw, err := doc.Marshal()
+		require.NoError(t, err)
+		f.store.locked(func() { f.store.row = platform.Row{Value: raw, Version: version} })
+		return s.readAndInstall(t.Context(), false)
+	}
+	good, odd, bad := document("me"), document("me"), document("me")
+	odd.Ignored, bad.Default = []string{"routes[1]"}, "none"
+	require.NoError(t, read(good, 1))
+	ignored, refusal := s.Problems()
+	require.Empty(t, ignored)
+	require.Empty(t, refusal)
+	require.Error(t, read(bad, 2))
+	f.store.locked(func() { f.store.down = true })
+	require.Error(t, s.readAndInstall(t.Context(), false))
+	f.store.locked(func() { f.store.down = false })
+	_, refusal = s.Problems()
+	require.Contains(t, refusal, "default")
+	require.NoError(t, read(odd, 3))
+	waitUntil(t, s, func() bool { return s.Installed().Version == 3 })
+	ignored, refusal = s.Problems()
+	require.Equal(t, []string{"routes[1]"}, ignored)
+	require.Empty(t, refusal)
+}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -37,7 +37,9 @@
 
 // daemon is the daemon of one VM of the cluster.
 type daemon struct {
-	teams []admin.TeamStatus
+	teams   []admin.TeamStatus
+	ignored []string
+	refused string
 	*cluster
 	name    string
 	version uint64 // installed version; 0 means the stored one
@@ -88,7 +90,7 @@
 }
 
 func (d *daemon) Status() admin.Status {
-	s := admin.Status{VM: d.name, ConfigVersion: d.version}
+	s := admin.Status{VM: d.name, ConfigVersion: d.version, ConfigIgnored: d.ignored, ConfigRefused: d.refused}
 	if doc := d.Installed(); doc != nil && d.version == 0 {
 		s.ConfigVersion = doc.Version
 	}
@@ -289,6 +291,20 @@
 	require.Equal(t, []string{"keys of teams: required -> not required", "team crew: removed", "team new: removed"}, Diff(to, &clusterconfig.Document{}))
 }
 
+// What daemons cannot use of the configuration must be shown, once for all of them.
+func TestStatusShowsProblemsOfTheConfiguration(t *testing.T) {
+	c, daemons := newCluster(t, "a", "b")
+	code, out := c.run(t, "status")
+	require.Equal(t, ExitOK, code, out)
+	require.NotContains(t, out, "configuration,")
+	daemons[0].ignored, daemons[1].ignored = []string{"routes[3]: reason"}, []string{"routes[3]: reason"}
+	daemons[1].refused = "routes: no list"
+	code, out = c.run(t, "status")
+	require.Equal(t, ExitOK, code, out)
+	require.Equal(t, 1, strings.Count(out, "configuration, ignored: routes[3]: reason"), out)
+	require.Contains(t, out, "configuration, refused by b, which keeps the one before: routes: no list")
+}
+
 // A check must send nothing, and its exit status must tell clean documents, findings and unusable documents apart.
 func TestConfigCheck(t *testing.T) {
 	c, _ := newCluster(t, "a")
--- a/pkg/ctl/fleet.go
+++ b/pkg/ctl/fleet.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -74,9 +76,26 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.VM, r.DataCentre, stateText(r.Status, r.Error), r.ConfigVersion,
 				r.CallerConnections, len(r.MembersOwned), formatTime(r.Started))
 		}
+		for _, line := range configProblems(answers) {
+			fmt.Fprintln(w, line)
+		}
 	})
 }
 
+// configProblems returns a line for each entry of the configuration that daemons ignore, and for each refusal of a whole one.
+func configProblems(answers []vmAnswer[admin.Status]) []string {
+	lines := map[string]bool{}
+	for _, a := range answers {
+		for _, entry := range a.value.ConfigIgnored {
+			lines["configuration, ignored: "+entry] = true
+		}
+		if a.value.ConfigRefused != "" {
+			lines["configuration, refused by "+a.vm.Name+", which keeps the one before: "+a.value.ConfigRefused] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(lines))
+}
+
 // stateText returns the state of a daemon for the status table. A problem, such as a missing answer, takes precedence.
 func stateText(s admin.Status, problem string) string {
 	switch {
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -39,7 +39,7 @@
 	return admin.New(admin.Options{
 		Addr: daemonSettings.Listen.Admin, Token: token, PProf: daemonSettings.Admin.PProf, Log: log, Checks: readinessChecks(k, configSync),
 		Gatherer: kernel.MustLookup[*prometheus.Registry](k, nameMetrics),
-		Burn:     kernel.MustLookup[*burn.Recorder](k, nameBurn), Drainer: drainer{k},
+		Burn:     burnSource{kernel.MustLookup[*burn.Recorder](k, nameBurn), kernel.MustLookup[*configsync.Sync](k, nameConfig)}, Drainer: drainer{k},
 		Requests: kernel.MustLookup[*requestlog.Log](k, nameRequestLog),
 		Config:   adminConfig{configSync: configSync, table: client, history: configsync.NewHistory(client), log: log},
 		Cluster: adminView{
@@ -88,3 +88,18 @@
 		check("not-draining", func() bool { return !vmView.Draining() }, errDraining),
 	}
 }
+
+// burnSource adds to the counts what the configuration in force asks for and cannot be counted.
+type burnSource struct {
+	*burn.Recorder
+	configSync *configsync.Sync
+}
+
+// Snapshot implements admin.BurnSource.
+func (b burnSource) Snapshot() (*burn.Snapshot, error) {
+	snap, err := b.Recorder.Snapshot()
+	if err == nil {
+		snap.Ignored, _ = b.configSync.Problems()
+	}
+	return snap, err
+}
--- a/pkg/daemon/adminview.go
+++ b/pkg/daemon/adminview.go
@@ -42,6 +42,7 @@
 		VM: self.Name, DataCentre: self.DataCentre, Region: self.Region, Version: Version, Started: a.started,
 		Draining: a.vmView.Draining(), ConfigVersion: a.configSync.InForce(), CallerConnections: a.callerConnections(),
 	}
+	s.ConfigIgnored, s.ConfigRefused = a.configSync.Problems()
 	for _, svc := range a.directory.Services() {
 		for _, m := range svc.Members {
 			if vm, ok := ownership.Owner(m, a.vmView.Live()); ok && vm.Name == self.Name {
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -34,6 +34,8 @@
 var (
 	descCallerConnections = desc("caller_connections", "Open connections of callers.")
 	descConfigVersion     = desc("config_version", "Version of the configuration in force, 0 for none.")
+	descConfigIgnored     = desc("config_ignored_entries", "Entries of the operators' document in force that cannot be used; see config show.")
+	descConfigRefused     = desc("config_refused", "1 while the row that this daemon has read last is refused as a whole, else 0.")
 	descLiveVMs           = desc("live_vms", "Entry VMs that take work in this daemon's view.")
 	descStartupsWaiting   = desc("startups_waiting", "Callers that wait until their connection is started up.")
 	descStartupsDelayed   = desc("startups_delayed_total", "Callers that had to wait for their startup.")
@@ -108,6 +110,9 @@
 	configSync := kernel.MustLookup[*configsync.Sync](c.k, nameConfig)
 	version := configSync.InForce()
 	gauge(descConfigVersion, float64(version))
+	ignored, refusal := configSync.Problems()
+	gauge(descConfigIgnored, float64(len(ignored)))
+	gauge(descConfigRefused, float64(min(len(refusal), 1)))
 	counter(descPanics, panics.Confined())
 	counter(descConfigStoreReads, configSync.StoreReads())
 	vmView := kernel.MustLookup[*membership.View](c.k, nameMembership)
