--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
 )
 
 const clean = `{"default": "a", "keysRequired": true,
@@ -55,3 +57,24 @@
 	_, _, err := Check([]byte(strings.Replace(clean, `"class": "a"`, `"class": "none"`, 1)))
 	require.Error(t, err, "what no daemon applies")
 }
+
+// FuzzCheck guards against a check that passes, with or without findings, a document that daemons refuse when they read it back.
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte(clean))
+	f.Add([]byte(`{"default": "a", "classes": [{"name": "a", "rank": "batch", "access": "statement", "target": {"latency": "30s", "reliability": 0.9}}],
+ "routes": [{"database": "d", "service": "s", "class": "a", "timeout": "1ns", "target": "10ms", "reads": {"consistency": "bounded", "maxAge": "0s"}}]}`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, _, err := Check(data)
+		if err != nil {
+			return
+		}
+		stored, err := doc.Marshal()
+		if err != nil {
+			t.Fatalf("%q cannot be stored: %v", data, err)
+		}
+		if _, err := clusterconfig.Parse(stored); err != nil {
+			t.Fatalf("%q is refused when it is read back as %q: %v", data, stored, err)
+		}
+	})
+}
