--- a/pkg/teamlimit/keeper.go
+++ b/pkg/teamlimit/keeper.go
@@ -193,8 +193,8 @@
 	b.filled = k.filled
 }
 
-// bucketSize returns what a bucket holds at most. A bucket that fills at all holds one token, since tokens are whole, and what it gains
-// in minFill, since VMs ask for tokens at intervals: the burst of a team, or a share of it, may be less than either.
+// bucketSize returns what a bucket holds at most. A bucket that fills at all holds one token, since tokens are whole, and what it
+// gains in minFill, since VMs ask for tokens at intervals: the burst of a team, or a share of it, may be less than either.
 func bucketSize(limit *clusterconfig.RateLimit, share float64) float64 {
 	size := limit.Burst * share
 	if share > 0 && limit.PerSecond > 0 {
