--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -12,7 +12,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	w := newWorld(os.Args[2])
-	run, ok := map[string]func(*world, bool) bool{"lost": caseLost, "prepared": casePrepared, "stale": caseStale, "pinned": casePinned, "one": caseOne}[os.Args[1]]
+	run, ok := map[string]func(*world, bool) bool{"lost": caseLost, "prepared": casePrepared, "stale": caseStale, "pinned": casePinned, "one": caseOne, "back": caseBack}[os.Args[1]]
 	if !ok {
 		check(fmt.Errorf("no case %q", os.Args[1]))
 	}
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -159,6 +160,18 @@
 	w.record("cuts healed")
 }
 
+// join heals the cuts between some VMs and a member.
+func (w *world) join(m *member, vms ...string) {
+	w.cutMu.Lock()
+	defer w.cutMu.Unlock()
+	for _, v := range vms {
+		delete(w.cuts, v+" "+m.id)
+	}
+	close(w.healed)
+	w.healed = make(chan struct{})
+	w.record("cut healed: %v and %s", vms, m.id)
+}
+
 // waitWhileCut waits while the VM and the member are cut off from each other, at most 3 s. It returns false after that.
 func (w *world) waitWhileCut(vmName string, m *member) bool {
 	limit := time.After(3 * time.Second)
@@ -177,6 +190,24 @@
 	}
 }
 
+var (
+	tableMu    sync.Mutex
+	table      []byte
+	tableBegan time.Time // when the last reading of the table began
+)
+
+// tcpTable returns the system's table of TCP connections, read after the call. Calls at the same time share a reading.
+func tcpTable() []byte {
+	called := time.Now()
+	tableMu.Lock()
+	defer tableMu.Unlock()
+	if !tableBegan.After(called) {
+		tableBegan = time.Now()
+		table, _ = os.ReadFile("/proc/net/tcp")
+	}
+	return table
+}
+
 // lookUpVM returns the VM whose process holds the other end of a connection, "" if it is not found.
 func (w *world) lookUpVM(addr string) string {
 	host, port, err := net.SplitHostPort(addr)
@@ -186,16 +217,12 @@
 	p, _ := strconv.Atoi(port)
 	ip := net.ParseIP(host).To4()
 	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], p)
-	data, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
+	data := tcpTable()
 	inode := ""
-	for _, line := range strings.Split(string(data), "\n") {
-		f := strings.Fields(line)
-		if len(f) > 9 && f[1] == want {
-			inode = f[9]
-			break
+	if i := bytes.Index(data, []byte(": "+want+" ")); i >= 0 { // the local address; the table may hold many thousand lines
+		line, _, _ := bytes.Cut(data[i+2:], []byte("\n"))
+		if f := bytes.Fields(line); len(f) > 8 {
+			inode = string(f[8])
 		}
 	}
 	if inode == "" {
@@ -368,7 +395,7 @@
 	g.mu.Unlock()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	m.addr = l.Addr().String()
+	m.addr, m.listener = l.Addr().String(), l
 	go m.accept(l)
 	go func() {
 		for {
