--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -112,6 +112,7 @@
 	target := s.betterRegion()
 	for _, m := range s.membersByPreference() {
 		a.Members = append(a.Members, m.info.Name)
+		a.SyncReplicas = max(a.SyncReplicas, m.info.SyncReplicas)
 		if m.leavingLong(time.Now()) {
 			a.Barred = append(a.Barred, m.info.Name)
 		}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -66,6 +66,9 @@
 	Slots       int    `json:"slots" msgpack:"l"`       // number of statements that the member runs at once
 	Connections int    `json:"connections" msgpack:"x"` // number of connections that the member accepts
 	Leaving     bool   `json:"leaving" msgpack:"v"`     // the platform is about to take the member away
+	// SyncReplicas is the number of replicas that hold a write before the primary acknowledges it. With 0 the endpoints make no
+	// promise of their own.
+	SyncReplicas int `json:"syncReplicas,omitempty" msgpack:"y,omitempty"`
 }
 
 // Service is one replicated database.
--- a/pkg/platform/validate.go
+++ b/pkg/platform/validate.go
@@ -11,6 +11,7 @@
 const (
 	MaxMemberSlots       = 1 << 12
 	MaxMemberConnections = 1 << 16
+	MaxSyncReplicas      = 1 << 10
 )
 
 // Validate returns an error if the member's entry in a list cannot be used.
@@ -22,6 +23,8 @@
 		return fmt.Errorf("member has %d slots; 0 to %d are allowed", m.Slots, MaxMemberSlots)
 	case m.Connections < 0 || m.Connections > MaxMemberConnections:
 		return fmt.Errorf("member accepts %d connections; 0 to %d are allowed", m.Connections, MaxMemberConnections)
+	case m.SyncReplicas < 0 || m.SyncReplicas > MaxSyncReplicas:
+		return fmt.Errorf("service writes to %d replicas at once; 0 to %d are allowed", m.SyncReplicas, MaxSyncReplicas)
 	}
 	if err := ValidateAddr(m.DataAddr); err != nil {
 		return fmt.Errorf("data address: %w", err)
--- a/pkg/quorum/promoter.go
+++ b/pkg/quorum/promoter.go
@@ -67,6 +67,18 @@
 	// Barred lists members that are never promoted, such as those that have been leaving for long. They are fenced and count in
 	// the majority.
 	Barred []string
+	// SyncReplicas is the number of replicas that hold each acknowledged write beside the primary, on a platform that does not
+	// wait for a majority. Any set that leaves out only so many members holds all acknowledged writes.
+	SyncReplicas int
+}
+
+// covers reports whether n members hold between them every acknowledged write.
+func (p *Promoter) covers(n int) bool {
+	members := len(p.attempt.Members)
+	if k := p.attempt.SyncReplicas; k > 0 && n < members-k {
+		return false
+	}
+	return p.rules.isMajority(n, members)
 }
 
 // Promoter is the state machine of one attempt. It promotes at most one member and repeats the request only to that
@@ -153,12 +165,12 @@
 }
 
 // recordRefusal records that a member refused the fence, unless it accepted the fence before. The attempt is lost once
-// the members that have not refused are fewer than a majority.
+// the members that have not refused are too few.
 func (p *Promoter) recordRefusal(member string) []Action {
 	if _, ok := p.fenceAnswers[member]; !ok {
 		p.refused[member] = true
 	}
-	if len(p.attempt.Members)-len(p.refused) < Majority(len(p.attempt.Members)) {
+	if !p.covers(len(p.attempt.Members) - len(p.refused)) {
 		p.phase = PhaseLost
 		return nil
 	}
@@ -181,11 +193,11 @@
 	return nil
 }
 
-// tryChoose chooses the member to promote once a majority is fenced and every other member has refused or left a
+// tryChoose chooses the member to promote once enough members are fenced and every other member has refused or left a
 // request unanswered. Choosing at a bare majority would be just as safe, but a later answer may bring a longer log or
 // a preferred member.
 func (p *Promoter) tryChoose() []Action {
-	if !p.rules.isMajority(len(p.fenceAnswers), len(p.attempt.Members)) || p.awaitsAnswers() {
+	if !p.covers(len(p.fenceAnswers)) || p.awaitsAnswers() {
 		return nil
 	}
 	best := p.newestPromotable(func(m string) bool {
@@ -210,7 +222,7 @@
 }
 
 // newestPromotable returns the allowed fenced member with the newest log, or "" if that log is too old. A member may
-// be promoted if its log is at least as new as those of a majority of members, all fenced and itself included: every
+// be promoted if its log is at least as new as those of enough members, all fenced and itself included, that every
 // acknowledged write is in the log of one of those.
 func (p *Promoter) newestPromotable(allowed func(string) bool) string {
 	best := ""
@@ -229,7 +241,7 @@
 			n++
 		}
 	}
-	if !p.rules.isMajority(n, len(p.attempt.Members)) {
+	if !p.covers(n) {
 		return ""
 	}
 	return best
