Group: a promotion is decided on present answers where fences do not hold

Cause: an attempt to promote counted answers of any age towards its majority, for 5.5 s. Members of the users' platform can be promoted by another VM after they have answered; the old primary, back within reach and with the longest log of its term, then made up a majority with such an answer and was promoted again. The record of the script shows it within 25 ms of the end of each cut, with and without a refused fence token before it.

Change: platform.Guarantees.FencesIgnored states that a fence does not hold a member against another promotion. Then an attempt decides on answers of the last 360 ms or ends, and ends when the primary that counted as lost answers. Its term does not count as a visible fence.

--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -116,6 +116,7 @@
 			return group.DecodeRelayedView(reply)
 		},
 		PromotionTime: kernel.MustLookup[Edges](k, nameEdges).Guarantees.Promotion,
+		FencesIgnored: kernel.MustLookup[Edges](k, nameEdges).Guarantees.FencesIgnored,
 		MinTenure:     time.Duration(kernel.MustLookup[*settings.Settings](k, nameSettings).Placement.Stand),
 		QuiesceWrites: func(ctx context.Context, service, member string) (func(), bool) {
 			set, err := kernel.Lookup[*owner.Set](k, nameOwners) // the owners start after the watcher
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -22,12 +22,16 @@
 	// fenceGrace is how long after its start an attempt still waits for members beyond a majority to answer its fence.
 	// It exceeds a round trip between regions.
 	fenceGrace = 60 * time.Millisecond
+	// maxAnswerAge bounds the age of the answers that an attempt decides on where fences are ignored: another promoter may act
+	// in the meantime. It leaves room for one call that fails.
+	maxAnswerAge = callTimeout + fenceGrace
 	// drainTimeout bounds the wait until the writes in progress at a primary have ended and a replica has caught up.
 	drainTimeout = 500 * time.Millisecond
 )
 
 // attemptPromotion tries once to promote a member. It is safe even if the process is suspended for long in between: the
-// attempt reads all statuses again before it fences, and members refuse fences and promotions of a lower term.
+// attempt reads all statuses again before it fences, and members refuse fences and promotions of a lower term. Where fences are
+// ignored, it decides on answers of at most maxAnswerAge.
 func (s *service) attemptPromotion(reason Reason) {
 	s.mu.Lock()
 	began, lost := s.election.since, ""
@@ -38,6 +42,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, attemptTimeout+s.watcher.opts.PromotionTime)
 	defer cancel()
 	var chosen string
+	decided := true
 	a, ok := s.prepareAttempt(reason)
 	if ok && reason == ReasonPlacement {
 		var release func()
@@ -50,25 +55,34 @@
 			defer s.quiesceLeavingPrimary(ctx)()
 			s.drainPrimary(ctx, a.LastResort)
 		}
-		chosen = s.runPromoter(ctx, a, lost)
+		chosen, decided = s.runPromoter(ctx, a, lost)
 	}
 	s.finishAttempt(Failover{
 		Service: s.name, Term: a.Term, Primary: chosen, Reason: reason, Duration: time.Since(began),
-	}, ok)
+	}, ok, decided, s.fencesBind(a))
+}
+
+// fencesBind reports whether a member that has answered a fence of the attempt shows that to other VMs.
+func (s *service) fencesBind(a quorum.Attempt) bool {
+	return !s.watcher.opts.FencesIgnored || a.SyncReplicas > 0
 }
 
 // finishAttempt records and logs the result of an attempt. tried is false if the attempt ended before it fenced a
-// member; such an attempt does not count as failed.
-func (s *service) finishAttempt(f Failover, tried bool) {
+// member; such an attempt does not count as failed. decided is false if it ended before it chose one, where fences are ignored,
+// and fenced is false if its fences cannot be seen.
+func (s *service) finishAttempt(f Failover, tried, decided, fenced bool) {
 	s.mu.Lock()
 	e := &s.election
 	e.attempting, e.reason = false, ""
-	if tried {
+	if tried && fenced {
 		e.highestFence = max(e.highestFence, f.Term) // this VM's own fence must not pass for that of another promoter
 	}
-	if f.Primary != "" {
+	switch {
+	case f.Primary != "":
 		e.failedAttempts = 0
-	} else if tried {
+	case tried && !decided:
+		e.pause(time.Now())
+	case tried:
 		e.backOff(time.Now())
 	}
 	s.mu.Unlock()
@@ -218,7 +232,11 @@
 
 // runPromoter runs the state machine of an attempt and returns the promoted member, or "" if there is none. It does not
 // wait for the lost member, and from fenceGrace after the start no longer waits for members beyond a majority.
-func (s *service) runPromoter(ctx context.Context, a quorum.Attempt, lost string) string {
+//
+// Where fences are ignored, decided is false if the attempt has ended without a choice: too few members answered within
+// maxAnswerAge, or the lost member answered and need not be replaced. The next attempt asks all members again.
+func (s *service) runPromoter(ctx context.Context, a quorum.Attempt, lost string) (promoted string, decided bool) {
+	began := time.Now()
 	inputs := make(chan quorum.Input, 2*len(s.members))
 	p, acts := quorum.NewPromoter(a)
 	dispatch := func(acts []quorum.Action, pause time.Duration) {
@@ -234,16 +252,32 @@
 		p.Step(quorum.Input{Kind: quorum.NoAnswer, Member: lost})
 	}
 	grace := time.After(fenceGrace)
+	var outdated <-chan time.Time
+	if s.watcher.opts.FencesIgnored {
+		outdated = time.After(maxAnswerAge)
+	}
 	for p.Phase() == quorum.PhaseFencing || p.Phase() == quorum.PhasePromoting {
 		in := quorum.Input{Kind: quorum.Abandoned}
 		select {
 		case in = <-inputs:
 		case <-grace:
-			dispatch(p.SkipUnanswered(), 0)
+			if outdated == nil || time.Since(began) < maxAnswerAge {
+				dispatch(p.SkipUnanswered(), 0)
+			}
 			continue
+		case <-outdated:
+			if p.Phase() == quorum.PhasePromoting {
+				outdated = nil
+				continue
+			}
 		case <-ctx.Done():
 		}
-		if ctx.Err() != nil {
+		answers := in.Kind == quorum.FenceAnswered || in.Kind == quorum.FenceRefused
+		switch {
+		case ctx.Err() != nil:
+			in.Kind = quorum.Abandoned
+		case s.watcher.opts.FencesIgnored && p.Phase() == quorum.PhaseFencing &&
+			(time.Since(began) >= maxAnswerAge || answers && in.Member == lost):
 			in.Kind = quorum.Abandoned
 		}
 		pause := time.Duration(0)
@@ -252,10 +286,11 @@
 		}
 		dispatch(p.Step(in), pause)
 	}
+	decided = p.Chosen() != "" || !s.watcher.opts.FencesIgnored
 	if p.Phase() == quorum.PhasePromoted {
-		return p.Chosen()
+		return p.Chosen(), decided
 	}
-	return ""
+	return "", decided
 }
 
 // performAction sends the request of one action, after pause, and passes its outcome to inputs. A request to follow
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -155,6 +155,11 @@
 	return false
 }
 
+// pause delays the next attempt after one that ended before its choice, since too few members answer.
+func (e *election) pause(now time.Time) {
+	e.backoffUntil = now.Add(initialBackoff + rand.N(initialBackoff))
+}
+
 // backOff delays the next attempt after one that did not end in a promotion.
 func (e *election) backOff(now time.Time) {
 	wait := min(initialBackoff<<min(e.failedAttempts, 10), maxBackoff)
--- a/pkg/group/fake_test.go
+++ b/pkg/group/fake_test.go
@@ -94,7 +94,10 @@
 func (f *fakeService) watcherWithOptions(t testing.TB, rank int, o Options) *Watcher {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	o.Control, o.Log = fakeControl{f, o.Self}, log
+	o.Log = log
+	if o.Control == nil {
+		o.Control = fakeControl{f, o.Self}
+	}
 	w := New(o)
 	a := Assignment{Service: f.service(), PromoterRank: rank}
 	for i, m := range f.members {
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -38,6 +38,8 @@
 	// PromotionTime is how long a promoted member takes to become primary, beyond the time of an ordinary call. With 0 it
 	// is primary when the call returns.
 	PromotionTime time.Duration
+	// FencesIgnored means that a member may be promoted after another promoter has fenced it, see platform.Guarantees.
+	FencesIgnored bool
 	// MinTenure is how long a primary stays in place before it may be moved, see placement.DefaultMinTenure. With 0 it is never
 	// moved.
 	MinTenure time.Duration
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -148,6 +148,9 @@
 	Position bool
 	// Promotion is how long a member takes to become the primary after it was told to; 0 if it does so at once.
 	Promotion time.Duration
+	// FencesIgnored means that a member can be promoted although another promoter has fenced it since. A promoter must then
+	// decide on the present state of the members.
+	FencesIgnored bool
 }
 
 // Row is the value of a key in the table service, with its version.
