Group: a relayed age is taken over only with the log that it belongs to

Cause: the VM that owns the primary was frozen while the replica started again, and then answered a request for its view with what it had known before. The relayed status was older than the one that the asking VM had from the replica itself, and was dropped; the relayed age was taken over, and stood for the present, shorter log.

Change: the age is taken over only if the member's present status covers the log in the relayed status.

Measured: TestRelayedAgeOfALogThatIsGone failed before and passes.

--- a/pkg/group/fresh_test.go
+++ b/pkg/group/fresh_test.go
@@ -30,6 +30,32 @@
 	}
 }
 
+// Guards against reads at a replica that has started again without its log, after the VM that owns the primary was frozen and then
+// relays what it knew before: the age must not be taken over without the log that it belongs to.
+func TestRelayedAgeOfALogThatIsGone(t *testing.T) {
+	now := time.Now()
+	before := platform.Status{AppliedTerm: 2, Applied: 10}
+	relayed := &RelayedMember{Heard: 50, Sent: 50, Fresh: 60, Status: &before}
+	for name, c := range map[string]struct {
+		present platform.Status
+		want    bool
+	}{
+		"started again without its log": {platform.Status{}, false},
+		"has part of its log again":     {platform.Status{AppliedTerm: 2, Applied: 9}, false},
+		"has its log again":             {platform.Status{AppliedTerm: 2, Applied: 12}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &member{}
+			m.setStatus(before, now.Add(-2*time.Second))
+			m.setStatus(platform.Status{}, now.Add(-200*time.Millisecond))
+			m.setStatus(c.present, now.Add(-100*time.Millisecond))
+			(&service{members: []*member{m}}).recordRelayedMember(m, relayed, now)
+			require.Equal(t, c.present, m.status)
+			require.Equal(t, c.want, !m.freshAt.IsZero())
+		})
+	}
+}
+
 // A leaving primary must hand over to a replica that has received its log and only applies it late, and must not hand over to
 // one that has not received it.
 func TestLeavingPrimaryHandsOverToReplicaThatAppliesLate(t *testing.T) {
--- a/pkg/group/relay.go
+++ b/pkg/group/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
 	"github.com/sycamorehub/sycamorehub/pkg/quorum"
+	"github.com/sycamorehub/sycamorehub/pkg/unit"
 	"github.com/sycamorehub/sycamorehub/pkg/wire"
 )
 
@@ -302,7 +303,9 @@
 		m.statusChanged = !m.known || m.status != m.relayedStatus
 		m.setStatus(m.relayedStatus, at)
 	}
-	if fresh := timeOfAge(relayed.Fresh); relayed.Fresh > 0 && fresh.After(m.freshAt) {
+	// The relayed age is that of the log in the relayed status. This VM may have learnt later that the member has less of it by now.
+	relayedLog := unit.Requirement{Term: m.relayedStatus.AppliedTerm, Position: m.relayedStatus.Applied}
+	if fresh := timeOfAge(relayed.Fresh); relayed.Fresh > 0 && fresh.After(m.freshAt) && quorum.MayServeRead(m.status, relayedLog) {
 		m.freshAt = fresh
 	}
 	return m.statusChanged || m.reachable() != wasReachable
