Session: what sessions keep between statements is shared and bounded

Cause: each session kept its own copy of each definition, and through its name the decoded message as well. Only numbers were limited. The budget for messages ends with the answer.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -38,6 +38,7 @@
 	nameConfig      = "config"
 	nameTeamLimits  = "team-limits"
 	nameMemory      = "memory"
+	nameSessions    = "session-memory"
 	nameViews       = "views"
 	nameRouter      = "router"
 	nameBurn        = "burn"
@@ -111,6 +112,7 @@
 		existingService(nameSelf, self),
 		existingService(nameEdges, e),
 		{Name: nameMemory, New: newMemory},
+		{Name: nameSessions, New: newSessionMemory},
 		{Name: nameBurn, New: newBurn},
 		{Name: nameUnitMetrics, New: newUnitMetrics},
 		{Name: nameRequestLog, New: newRequestLog},
--- a/pkg/daemon/frontend.go
+++ b/pkg/daemon/frontend.go
@@ -49,6 +49,7 @@
 			Changed:  configSync.Changed,
 			VMName:   s.VM, Log: logger(k, nameFrontend), MaxConnections: s.Limits.CallerConnections,
 			Budget:         kernel.MustLookup[*membudget.Budget](k, nameMemory),
+			Memory:         kernel.MustLookup[*session.Memory](k, nameSessions),
 			DrainGrace:     time.Duration(s.Limits.DrainGrace),
 			ObserveRequest: kernel.MustLookup[*unitMetrics](k, nameUnitMetrics).observe,
 			Admit:          kernel.MustLookup[*teamlimit.Service](k, nameTeamLimits).Admit,
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/panics"
 	"github.com/sycamorehub/sycamorehub/pkg/peer"
 	"github.com/sycamorehub/sycamorehub/pkg/ring"
+	"github.com/sycamorehub/sycamorehub/pkg/session"
 	"github.com/sycamorehub/sycamorehub/pkg/teamlimit"
 )
 
@@ -62,6 +63,8 @@
 	descPanics            = desc("unexpected_errors_total", "Panics that ended one session, request or read of this daemon.")
 	descBudgetBytes       = desc("message_memory_bytes", "Memory that messages of callers may take, and that they take.", "kind")
 	descBudgetEnded       = desc("message_memory_ended_total", "Connections of callers ended for want of memory.", "reason")
+	descSessionBytes      = desc("session_memory_bytes", "Memory that sessions may keep between statements, and that they keep.", "kind")
+	descSessionEnded      = desc("session_memory_ended_total", "Sessions ended, and session commands refused, for want of memory.", "reason")
 	descTeamAdmitted      = desc("team_limit_admitted_total", "Operations admitted within the limits of their teams.")
 	descTeamRefused       = desc("team_limit_refused_total", "Operations refused beyond the limits of their teams.")
 	descTeamGranted       = desc("team_limit_granted_total", "Tokens granted to entry VMs as a keeper of limits.")
@@ -130,13 +133,18 @@
 	counter(descMemberPollBytes, watcherStats.Bytes)
 }
 
-// collectMemory reports the budget for messages of callers.
+// collectMemory reports the budgets for messages of callers and for what sessions keep.
 func (c collector) collectMemory(gauge gaugeFunc, counter counterFunc) {
 	stats := kernel.MustLookup[*membudget.Budget](c.k, nameMemory).Stats()
 	gauge(descBudgetBytes, float64(stats.Limit), "limit")
 	gauge(descBudgetBytes, float64(stats.Used), "used")
 	counter(descBudgetEnded, stats.Evicted, "held-longest")
 	counter(descBudgetEnded, stats.Refused, "no-room")
+	kept := kernel.MustLookup[*session.Memory](c.k, nameSessions).Stats()
+	gauge(descSessionBytes, float64(kept.Limit), "limit")
+	gauge(descSessionBytes, float64(kept.Used), "used")
+	counter(descSessionEnded, kept.Ended, "keeps-most")
+	counter(descSessionEnded, kept.Refused, "no-room")
 }
 
 // collectTeams reports sums over all teams; GET /v1/teams has them by team.
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -68,6 +68,7 @@
 func (c *callerSession) serve() {
 	defer c.server.remove(c)
 	defer c.room.Release()
+	defer c.session.Release()
 	defer func() { _ = c.conn.Close() }()
 	defer panics.Confine(c.server.opts.Log, "session of a caller", nil)
 	if !c.startup() {
--- a/pkg/session/hold_test.go
+++ b/pkg/session/hold_test.go
@@ -64,7 +64,7 @@
 				for range 9 {
 					f := newFakeCaller()
 					go func() {
-						session := &callerSession{server: s, conn: f, session: New()}
+						session := &callerSession{server: s, conn: f, session: New(nil)}
 						session.startup()
 						answers <- <-f.started
 					}()
--- a/pkg/session/server.go
+++ b/pkg/session/server.go
@@ -52,6 +52,7 @@
 	VMName         string
 	MaxConnections int
 	Budget         *membudget.Budget // room for messages of callers; nil: no limit
+	Memory         *Memory           // room for what sessions keep between statements; nil: no limit
 	// DrainGrace is how long a draining server still accepts callers, so that the balancer stops sending callers before
 	// the server refuses them.
 	DrainGrace time.Duration
@@ -113,7 +114,7 @@
 			continue
 		}
 		room := s.opts.Budget.NewHolder(func() { _ = nc.Close() })
-		c := &callerSession{server: s, conn: s.opts.Protocol(nc, room), room: room, session: New()}
+		c := &callerSession{server: s, conn: s.opts.Protocol(nc, room), room: room, session: New(s.opts.Memory.NewState(func() { _ = nc.Close() }))}
 		if !s.add(c) {
 			_ = nc.Close()
 			continue
--- a/pkg/session/session.go
+++ b/pkg/session/session.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sycamorehub/sycamorehub/pkg/clusterconfig"
@@ -8,7 +9,7 @@
 	"github.com/sycamorehub/sycamorehub/pkg/unit"
 )
 
-// maxPreparedStatements and maxSessionValues bound the memory that one session can take.
+// maxPreparedStatements and maxSessionValues bound the number of entries of one session; Memory bounds their size.
 const (
 	maxPreparedStatements = 1024
 	maxSessionValues      = 256
@@ -28,7 +29,8 @@
 type Session struct {
 	policy     Policy // read when the transaction began, or before a statement outside transactions
 	values     []unit.Value
-	prepared   map[string]preparedStatement
+	prepared   map[string]*definition
+	state      *State                      // room for values and prepared
 	lastWrites map[string]unit.Requirement // position of the session's last write, by service
 
 	txStatus       byte
@@ -38,9 +40,20 @@
 	lossUnreported bool       // the transaction was abandoned, and the caller has not been told yet
 }
 
-// New returns the state of a new session.
-func New() *Session {
-	return &Session{txStatus: 'I', prepared: map[string]preparedStatement{}, lastWrites: map[string]unit.Requirement{}}
+// New returns a new session that keeps its values and prepared statements in state, which may be nil.
+func New(state *State) *Session {
+	return &Session{txStatus: 'I', prepared: map[string]*definition{}, state: state, lastWrites: map[string]unit.Requirement{}}
+}
+
+// Release gives up all that the session keeps between statements.
+func (s *Session) Release() {
+	for name, d := range s.prepared {
+		s.state.drop(name, d)
+	}
+	for _, v := range s.values {
+		s.state.give(valueBytes(v))
+	}
+	s.prepared, s.values = map[string]*definition{}, nil
 }
 
 // TxStatus returns 'I' outside transactions, 'T' in one and 'E' in a failed one.
@@ -122,27 +135,56 @@
 	case KindSet:
 		return s.setValue(st)
 	case KindPrepare:
-		if len(s.prepared) >= maxPreparedStatements {
-			return s.errorAnswer(st, errkind.BadParameter, "the session has too many prepared statements")
-		}
-		s.prepared[st.Name] = newPreparedStatement(st)
+		return s.prepareStatement(st)
 	case KindDeallocate:
-		delete(s.prepared, st.Name)
+		s.deallocate(st.Name)
+	}
+	return s.emptyAnswer(st)
+}
+
+func (s *Session) prepareStatement(st Statement) Answer {
+	if len(s.prepared) >= maxPreparedStatements {
+		return s.errorAnswer(st, errkind.BadParameter, "the session has too many prepared statements")
 	}
+	name := strings.Clone(st.Name) // the decoder's name may be part of the whole message
+	d := s.state.define(name, st)
+	if d == nil {
+		return s.errorAnswer(st, errkind.Overload, "no room for another prepared statement")
+	}
+	s.deallocate(name)
+	s.prepared[name] = d
 	return s.emptyAnswer(st)
 }
 
+func (s *Session) deallocate(name string) {
+	if d, ok := s.prepared[name]; ok {
+		s.state.drop(name, d)
+		delete(s.prepared, name)
+	}
+}
+
+// valueBytes returns about what the process needs for a session value.
+func valueBytes(v unit.Value) int { return len(v.Name) + len(v.Value) + entryOverhead }
+
 func (s *Session) setValue(st Statement) Answer {
 	values := make([]unit.Value, 0, len(s.values)+1) // a new slice, since units in progress share the old one
+	replaced := 0
 	for _, v := range s.values {
 		if v.Name != st.Name {
 			values = append(values, v)
+		} else {
+			replaced = valueBytes(v)
 		}
 	}
 	if len(values) >= maxSessionValues {
 		return s.errorAnswer(st, errkind.BadParameter, "the session has set too many values")
 	}
-	s.values = append(values, unit.Value{Name: st.Name, Value: st.Value})
+	v := unit.Value{Name: strings.Clone(st.Name), Value: strings.Clone(st.Value)}
+	if !s.state.take(valueBytes(v)) {
+		return s.errorAnswer(st, errkind.Overload, "no room for another session value")
+	}
+	s.state.give(replaced)
+	s.values = append(values, v)
 	return s.emptyAnswer(st)
 }
 
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -50,7 +50,7 @@
 		clusterconfig.ConsistencyBounded: {MaxAge: unit.LimitAge(time.Second)},
 		clusterconfig.ConsistencySession: {MaxAge: unit.LimitAge(time.Second), Require: written},
 	} {
-		s := New()
+		s := New(nil)
 		write, _, _ := s.Plan(statement(KindWrite), policyWith(c))
 		require.True(t, write.Write)
 		require.False(t, write.ConfirmPrimary)
@@ -67,7 +67,7 @@
 // After its primary was replaced, a session's reads must not be refused permanently and must not miss its writes. A
 // write in a later term replaces a higher position of an earlier one.
 func TestLaterTermReplacesPosition(t *testing.T) {
-	s := New()
+	s := New(nil)
 	s.raiseLastWrite("svc", unit.Requirement{Term: 3, Position: 90})
 	s.raiseLastWrite("svc", unit.Requirement{Term: 4, Position: 80})
 	s.raiseLastWrite("svc", unit.Requirement{Term: 3, Position: 95})
@@ -86,7 +86,7 @@
 		{KindBeginReadOnly, clusterconfig.ConsistencyBounded, false},
 		{KindBeginReadOnly, clusterconfig.ConsistencyPrimary, true}, // the primary alone confirms that it is the primary
 	} {
-		s := New()
+		s := New(nil)
 		u, a, _ := s.Plan(statement(c.begin), policyWith(c.consistency))
 		require.Nil(t, u, "the transaction begins at a member with its first statement")
 		require.Equal(t, byte('T'), a.TxStatus)
@@ -118,7 +118,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			policy := policyWith(clusterconfig.ConsistencySession)
-			s := New()
+			s := New(nil)
 			s.Plan(statement(KindBegin), policy)
 			u, _, _ := s.Plan(statement(KindWrite), policy)
 			s.ApplyResult(statement(KindWrite), u, doneResult('T', openTx), nil)
@@ -142,7 +142,7 @@
 
 // A change of the route must not take effect within a transaction, and must take effect after it.
 func TestRouteCountsFromTheNextTransaction(t *testing.T) {
-	s := New()
+	s := New(nil)
 	s.Plan(statement(KindBegin), policyWith(clusterconfig.ConsistencySession))
 	gone := func() (Policy, error) { return Policy{}, errkind.New(errkind.UnknownService, "no route") }
 	u, a, _ := s.Plan(statement(KindRead), gone)
@@ -159,7 +159,7 @@
 // connections know a prepared statement by a name that follows from its text.
 func TestPreparedStatementsAndValues(t *testing.T) {
 	policy := policyWith(clusterconfig.ConsistencySession)
-	a, b := New(), New()
+	a, b := New(nil), New(nil)
 	prepare := func(s *Session, text string, writes bool) {
 		s.Plan(Statement{Kind: KindPrepare, Name: "s1", Parse: []byte(text), Writes: writes}, policy)
 	}
@@ -395,7 +395,7 @@
 func TestKeyIsWithdrawn(t *testing.T) {
 	var doc *clusterconfig.Document
 	s := NewServer(Options{Document: func() *clusterconfig.Document { return doc }, VMName: "vm"})
-	c := &callerSession{server: s, session: New(), database: "db", key: team.Hash("k1")}
+	c := &callerSession{server: s, session: New(nil), database: "db", key: team.Hash("k1")}
 	_, err := c.currentPolicy()
 	require.True(t, errkind.Is(err, errkind.NotReady), "%v", err)
 	version := func(keys ...string) *clusterconfig.Document {
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -57,15 +57,9 @@
 	Position platform.Position // log position of a write in Term; 0 for none
 }
 
-// preparedStatement is a prepared statement of a session. Its shared name is a hash of its definition, so that sessions
-// with the same statement share it on connections to members.
-type preparedStatement struct {
-	sharedName string
-	parse      []byte
-	writes     bool
-}
-
-func newPreparedStatement(st Statement) preparedStatement {
+// newDefinition returns the definition of a prepared statement. Its shared name is a hash of the definition, so that sessions with the
+// same statement share it on connections to members.
+func newDefinition(st Statement) *definition {
 	h := fnv.New128a()
 	_, _ = h.Write(st.Parse)
 	sum := h.Sum(nil)
@@ -77,5 +71,5 @@
 		}
 		name += strconv.FormatUint(v, 36)
 	}
-	return preparedStatement{sharedName: name, parse: st.Parse, writes: st.Writes}
+	return &definition{sharedName: name, parse: st.Parse, writes: st.Writes}
 }
