Tests: a planned stop begins once the views of the owner have settled

awaitOwner now waits until all VMs have agreed for a second without a break, instead of asking each once. What the test checks is unchanged.

--- a/test/fault/stop_test.go
+++ b/test/fault/stop_test.go
@@ -60,19 +60,26 @@
 	return c.ownerOf(primary, c.ownerOf(primary))
 }
 
-// awaitOwner waits until every entry VM considers vm the owner of the member. In a new cluster their views differ for a
-// moment.
+// settledTime is how long all views must agree to count as settled. A VM in a new cluster hears from another one within a
+// heartbeat of 200 ms, and may get a view from one that has not heard from all others yet.
+const settledTime = time.Second
+
+// awaitOwner waits until every entry VM has considered vm the owner of the member for settledTime. In a new cluster their
+// views differ for a moment, and may change again after they have agreed once.
 func (c *cluster) awaitOwner(m platform.Member, vm string) {
 	c.t.Helper()
-	for _, entryVM := range c.Topology.VMs {
-		eventually(c.t, func() bool {
+	agreed := time.Now()
+	eventually(c.t, func() bool {
+		for _, entryVM := range c.Topology.VMs {
 			var groups []admin.Group
-			if getJSON("http://"+entryVM.AdminAddr+"/v1/groups", &groups) != nil || len(groups) == 0 {
+			if getJSON("http://"+entryVM.AdminAddr+"/v1/groups", &groups) != nil || len(groups) == 0 ||
+				!slices.ContainsFunc(groups[0].Members, func(g admin.GroupMember) bool { return g.Name == m.Name && g.Owner == vm }) {
+				agreed = time.Now()
 				return false
 			}
-			return slices.ContainsFunc(groups[0].Members, func(groupMember admin.GroupMember) bool { return groupMember.Name == m.Name && groupMember.Owner == vm })
-		}, primaryChangeBound, pollInterval, "%s does not consider %s the owner", entryVM.Name, vm)
-	}
+		}
+		return time.Since(agreed) >= settledTime
+	}, primaryChangeBound+settledTime, pollInterval, "the entry VMs do not agree on %s as the owner of %s", vm, m.Name)
 }
 
 // pauseReplicasForAWhile lets both replicas receive no entries until after the COMMITs that follow the stop, so that
