--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, attemptTimeout+s.watcher.opts.PromotionTime)
 	defer cancel()
 	var chosen string
-	decided := true
+	end := notTried
 	a, ok := s.prepareAttempt(reason)
 	if ok && reason == ReasonPlacement {
 		var release func()
@@ -55,34 +55,41 @@
 			defer s.quiesceLeavingPrimary(ctx)()
 			s.drainPrimary(ctx, a.LastResort)
 		}
-		chosen, decided = s.runPromoter(ctx, a, lost)
+		chosen, end = s.runPromoter(ctx, a, lost)
 	}
 	s.finishAttempt(Failover{
 		Service: s.name, Term: a.Term, Primary: chosen, Reason: reason, Duration: time.Since(began),
-	}, ok, decided, s.fencesBind(a))
+	}, end, s.fencesBind(a))
 }
 
+// attemptEnd says how far an attempt got.
+type attemptEnd uint8
+
+const (
+	notTried  attemptEnd = iota // it ended before it fenced a member; it does not count as failed
+	undecided                   // it chose no member, where fences are ignored; the next one follows soon
+	tried
+)
+
 // fencesBind reports whether a member that has answered a fence of the attempt shows that to other VMs.
 func (s *service) fencesBind(a quorum.Attempt) bool {
 	return !s.watcher.opts.FencesIgnored || a.SyncReplicas > 0
 }
 
-// finishAttempt records and logs the result of an attempt. tried is false if the attempt ended before it fenced a
-// member; such an attempt does not count as failed. decided is false if it ended before it chose one, where fences are ignored,
-// and fenced is false if its fences cannot be seen.
-func (s *service) finishAttempt(f Failover, tried, decided, fenced bool) {
+// finishAttempt records and logs the result of an attempt. visible reports whether other VMs can see its fences.
+func (s *service) finishAttempt(f Failover, end attemptEnd, visible bool) {
 	s.mu.Lock()
 	e := &s.election
 	e.attempting, e.reason = false, ""
-	if tried && fenced {
+	if end != notTried && visible {
 		e.highestFence = max(e.highestFence, f.Term) // this VM's own fence must not pass for that of another promoter
 	}
 	switch {
 	case f.Primary != "":
 		e.failedAttempts = 0
-	case tried && !decided:
+	case end == undecided:
 		e.pause(time.Now())
-	case tried:
+	case end == tried:
 		e.backOff(time.Now())
 	}
 	s.mu.Unlock()
@@ -98,7 +105,7 @@
 		if s.watcher.opts.OnFailover != nil {
 			s.watcher.opts.OnFailover(f)
 		}
-	case tried && s.ctx.Err() == nil:
+	case end != notTried && s.ctx.Err() == nil:
 		if log, ok := s.watcher.attemptLogLimit.Allow(log, s.name); ok {
 			log.Warn("promotion attempt ended without a new primary; trying again after a pause if one is still needed")
 		}
@@ -233,9 +240,9 @@
 // runPromoter runs the state machine of an attempt and returns the promoted member, or "" if there is none. It does not
 // wait for the lost member, and from fenceGrace after the start no longer waits for members beyond a majority.
 //
-// Where fences are ignored, decided is false if the attempt has ended without a choice: too few members answered within
-// maxAnswerAge, or the lost member answered and need not be replaced. The next attempt asks all members again.
-func (s *service) runPromoter(ctx context.Context, a quorum.Attempt, lost string) (promoted string, decided bool) {
+// Where fences are ignored, the attempt ends undecided if too few members answer within maxAnswerAge, or if the lost member
+// answers and need not be replaced. The next attempt asks all members again.
+func (s *service) runPromoter(ctx context.Context, a quorum.Attempt, lost string) (promoted string, end attemptEnd) {
 	began := time.Now()
 	inputs := make(chan quorum.Input, 2*len(s.members))
 	p, acts := quorum.NewPromoter(a)
@@ -286,11 +293,14 @@
 		}
 		dispatch(p.Step(in), pause)
 	}
-	decided = p.Chosen() != "" || !s.watcher.opts.FencesIgnored
+	end = tried
+	if p.Chosen() == "" && s.watcher.opts.FencesIgnored {
+		end = undecided
+	}
 	if p.Phase() == quorum.PhasePromoted {
-		return p.Chosen(), decided
+		return p.Chosen(), end
 	}
-	return "", decided
+	return "", end
 }
 
 // performAction sends the request of one action, after pause, and passes its outcome to inputs. A request to follow
