--- a/pkg/group/relay_test.go
+++ b/pkg/group/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -159,3 +160,56 @@
 		}
 	}
 }
+
+// Ages and counts of a relayed view may hold anything. None may make a member seem younger than the request, count for what only the
+// members' own answers count for, or outlast the next sound view.
+func TestExtremesOfARelayedView(t *testing.T) {
+	const largest = math.MaxUint32
+	for name, change := range map[string]func(*RelayedMember){
+		"never heard":           func(m *RelayedMember) { m.Heard = 0 },
+		"heard long ago":        func(m *RelayedMember) { m.Heard = largest },
+		"never asked":           func(m *RelayedMember) { m.Sent = 0 },
+		"asked long ago":        func(m *RelayedMember) { m.Sent = largest },
+		"of unknown age":        func(m *RelayedMember) { m.Fresh = 0 },
+		"very old":              func(m *RelayedMember) { m.Fresh = largest },
+		"no age at all":         func(m *RelayedMember) { m.Heard, m.Sent, m.Fresh = 0, 0, 0 },
+		"fails most often":      func(m *RelayedMember) { m.Failures = math.MaxInt },
+		"fails less than never": func(m *RelayedMember) { m.Failures = math.MinInt },
+		"has no status":         func(m *RelayedMember) { m.Status = nil },
+		"is another member":     func(m *RelayedMember) { m.Status = &platform.Status{Member: "odd", Role: platform.RolePrimary} },
+		"is of an odd role": func(m *RelayedMember) {
+			m.Status = &platform.Status{Member: "m2", Role: "odd", AppliedTerm: 1, LastTerm: 1}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeService(t, 3)
+				owner := newFakePrimaryOwner(f.watcher(t, "w0", 0), 0)
+				var odd atomic.Bool
+				w1 := f.watcherWithRelay(t, "w1", 1, func(ctx context.Context, vm platform.VM, service string, _ uint32) (RelayedView, error) {
+					r, err := owner.relay(ctx, vm, service, 0)
+					if odd.Load() && len(r.Members) == 3 {
+						change(&r.Members[2])
+					}
+					return r, err
+				})
+				time.Sleep(2 * time.Second)
+				odd.Store(true)
+				for range 300 {
+					time.Sleep(10 * time.Millisecond)
+					v, _ := w1.View("s")
+					for _, m := range v.Members {
+						require.GreaterOrEqual(t, m.Age, time.Duration(0))
+					}
+				}
+				odd.Store(false)
+				time.Sleep(2 * time.Second)
+				v, _ := w1.View("s")
+				require.True(t, v.Members[2].Reachable)
+				require.True(t, v.Members[2].Fresh)
+				require.Equal(t, platform.RoleReplica, v.Members[2].Status.Role)
+				require.Len(t, f.history(), 1)
+			})
+		})
+	}
+}
