--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,10 @@
 	switch os.Args[1] {
 	case "memory":
 		status = w.memoryCase(trouble)
+	case "lapse":
+		status = w.lapseCase(trouble)
+	case "late":
+		status = w.lateCase(trouble)
 	case "names":
 		status = w.namesCase(trouble)
 	}
@@ -74,6 +79,7 @@
 	dir     string
 	net     network
 	store   *store
+	cloud   atomic.Pointer[http.ServeMux] // the platform's other calls
 	vms     []*vm
 	stop    chan struct{}
 }
@@ -106,8 +112,9 @@
 	if err != nil {
 		return nil, err
 	}
-	go func() { // no case needs a promotion
-		_ = http.Serve(l, http.HandlerFunc(func(a http.ResponseWriter, _ *http.Request) { a.WriteHeader(http.StatusConflict) }))
+	w.cloud.Store(http.NewServeMux()) // refuses all calls
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) { w.cloud.Load().ServeHTTP(a, r) }))
 	}()
 	return w, nil
 }
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -60,6 +60,15 @@
 	s.announce()
 }
 
+// expire removes a row whose writer has been silent, also while the store is down.
+func (s *store) expire(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.apply(storedRow{Table: table, Key: key, Version: s.version, Deleted: true})
+	s.announce()
+}
+
 func (s *store) apply(r storedRow) {
 	k := rowKey{r.Table, r.Part, r.Key}
 	if r.Deleted {
