Directory: a list counts as complete only once it has been found so

It read a list with one replica and had that one promoted over the healthy primary.

Cause: majorities are counted over the members that are listed, and the first list of a process passed for a complete one. MissingGrace covers only members that the process has seen before. For these it ended by a timer, also when the list could not be read since.

Change: the directory tells whether its list is complete. It takes a second read MissingGrace after the first list with no failed read in between, or a peer with the same list that is complete (one more bit in heartbeats). Before that this VM promotes nothing, and the delays of promoters count from then. A member that has vanished stays until a read, not a timer, has found it gone; readers read at the end of the grace.

--- a/pkg/daemon/heartbeat.go
+++ b/pkg/daemon/heartbeat.go
@@ -17,7 +17,7 @@
 	}
 	s.ListsHash = listsHash(k)
 	if dir, err := kernel.Lookup[*directory.Directory](k, nameDirectory); err == nil {
-		s.ListVersion = dir.Version()
+		s.ListVersion, s.ListComplete = dir.Version(), dir.ListComplete()
 	}
 	return s
 }
@@ -43,6 +43,9 @@
 	}
 	ownHash := listsHash(k)
 	switch {
+	case s.ListsHash == ownHash && s.ListComplete:
+		dir.ConfirmComplete(dir.ListHash(), s.ListVersion)
+		return
 	case s.ListsHash == ownHash:
 		dir.Confirm(dir.ListHash(), s.ListVersion)
 		return
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -115,9 +115,10 @@
 			}
 			return group.DecodeRelayedView(reply)
 		},
-		PromotionTime: kernel.MustLookup[Edges](k, nameEdges).Guarantees.Promotion,
-		FencesIgnored: kernel.MustLookup[Edges](k, nameEdges).Guarantees.FencesIgnored,
-		MinTenure:     time.Duration(kernel.MustLookup[*settings.Settings](k, nameSettings).Placement.Stand),
+		PromotionTime:   kernel.MustLookup[Edges](k, nameEdges).Guarantees.Promotion,
+		MembersComplete: kernel.MustLookup[*directory.Directory](k, nameDirectory).Complete,
+		FencesIgnored:   kernel.MustLookup[Edges](k, nameEdges).Guarantees.FencesIgnored,
+		MinTenure:       time.Duration(kernel.MustLookup[*settings.Settings](k, nameSettings).Placement.Stand),
 		QuiesceWrites: func(ctx context.Context, service, member string) (func(), bool) {
 			set, err := kernel.Lookup[*owner.Set](k, nameOwners) // the owners start after the watcher
 			if err != nil {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -43,8 +43,9 @@
 	// AwaitPeers waits for a short time until this VM knows its peers, so that IsReader can tell. If it is nil, the list is
 	// read at once.
 	AwaitPeers func(ctx context.Context)
-	// MissingGrace is how long a member stays in use after it has vanished from the list, unless a listed one is its
-	// successor. It covers entries that come back after an outage of the platform.
+	// MissingGrace is the time within which entries that have expired during an outage of the platform are back in its list. A
+	// member that vanishes from the list stays in use until a read after that time lacks it too, unless a listed one is its
+	// successor. With 0 each list is complete.
 	MissingGrace time.Duration
 	// IsSuccessor reports whether a listed member has taken the place of a member that is listed no more. If it is nil, one
 	// with the same address has.
@@ -64,7 +65,12 @@
 	mu          sync.Mutex
 	history     []snapshot           // guarded by mu; earlier lists, the latest last
 	missing     map[string]time.Time // guarded by mu; when members in use vanished from the list, by name
-	dropMissing *time.Timer          // guarded by mu; calls applyGrace; nil while no member is missing
+	complete    bool                 // guarded by mu; a list has been found complete since the start
+	heldSince   time.Time            // guarded by mu; when the first list came, or the first one that was read after a failed read
+	readFailed  bool                 // guarded by mu; the last read failed
+	lastRead    time.Time            // guarded by mu; when the last successful read of this VM began
+	settle      *time.Timer          // guarded by mu; see armRead
+	stopped     bool                 // guarded by mu
 	confirmedAt time.Time            // guarded by mu; when the list was last known to be current
 
 	cancel context.CancelFunc
@@ -89,7 +95,7 @@
 	d := &Directory{options: o, changed: ring.NewSignal(), missing: map[string]time.Time{}, done: make(chan struct{})}
 	d.poller = listpoll.New(d.readList, o.IsReader)
 	if _, ok := o.Lister.(VersionedLister); ok {
-		d.poller.SkipWhile(d.recentlyConfirmed)
+		d.poller.SkipWhile(func() bool { return d.recentlyConfirmed() && !d.awaitsRead() })
 	}
 	return d
 }
@@ -134,9 +140,8 @@
 	<-d.done
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.dropMissing != nil {
-		d.dropMissing.Stop()
-	}
+	d.stopped = true
+	d.armRead()
 	return nil
 }
 
@@ -173,6 +178,7 @@
 	defer panics.Confine(log, "read of the service list", func() { err = errkind.New(errkind.Internal, "service list could not be handled") })
 	var list []platform.Service
 	var version uint64
+	began := time.Now()
 	if lister, ok := d.options.Lister.(VersionedLister); ok {
 		list, version, err = lister.ServicesAt(ctx)
 	} else {
@@ -180,9 +186,10 @@
 	}
 	if err != nil {
 		log.WithError(err).Debug("cannot read the service list; keeping the last one")
+		d.noteFailedRead()
 		return err
 	}
-	d.apply(list, version)
+	d.apply(list, version, began)
 	return nil
 }
 
@@ -214,7 +221,7 @@
 // Adopt uses a list received from a peer if it is newer than the present one, or if there is none.
 func (d *Directory) Adopt(list []platform.Service, version uint64) {
 	if current := d.current.Load(); current == nil || version > current.version {
-		d.apply(list, version)
+		d.apply(list, version, time.Time{})
 	}
 }
 
@@ -239,11 +246,15 @@
 	return !d.confirmedAt.IsZero() && time.Since(d.confirmedAt) < listpoll.NonReaderInterval
 }
 
-// apply publishes a list unless a newer one is in use.
-func (d *Directory) apply(list []platform.Service, version uint64) {
+// apply publishes a list unless a newer one is in use. readAt is when this VM began to read it, or zero if it comes from a peer.
+func (d *Directory) apply(list []platform.Service, version uint64, readAt time.Time) {
 	list = d.withoutInvalid(list)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	defer d.armRead()
+	if !readAt.IsZero() {
+		d.noteRead(readAt)
+	}
 	old := d.current.Load()
 	if old != nil && version < old.version {
 		return
@@ -253,15 +264,19 @@
 		d.history = append(d.history, *old)
 		d.history = slices.Clone(d.history[max(0, len(d.history)-historyLimit):])
 	}
-	d.publish(list, version, d.confirmedAt)
+	if d.heldSince.IsZero() {
+		d.heldSince = d.confirmedAt
+	}
+	d.publish(list, version, readAt)
 }
 
-// publish publishes a list with the members that it lacks and that are still in use. The caller holds mu.
-func (d *Directory) publish(list []platform.Service, version uint64, now time.Time) {
+// publish publishes a list, as it was at the time readAt, with the members that it lacks and that are still in use. The caller
+// holds mu.
+func (d *Directory) publish(list []platform.Service, version uint64, readAt time.Time) {
 	old := d.current.Load()
 	services := list
 	if old != nil && d.options.MissingGrace > 0 {
-		services = d.withMissing(list, old.services, now)
+		services = d.withMissing(list, old.services, readAt)
 	}
 	next := newSnapshot(list, version, services)
 	d.current.Store(next)
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -59,6 +59,10 @@
 		e.since = now.Add(otherPromoterDelay)
 	}
 	e.highestFence = max(e.highestFence, highest)
+	if complete := s.watcher.opts.MembersComplete; reason != "" && complete != nil && !complete() {
+		e.since = now // the delays of the promoters count from the time at which the members are known
+		return
+	}
 	if reason == "" || now.Before(e.backoffUntil) || now.Sub(e.since) < s.promotionDelay(reason) {
 		return
 	}
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -40,6 +40,9 @@
 	PromotionTime time.Duration
 	// FencesIgnored means that a member may be promoted after another promoter has fenced it, see platform.Guarantees.
 	FencesIgnored bool
+	// MembersComplete reports whether the members of the assignments are all members of their services. Before that no majority
+	// counts, and this VM promotes no member. If it is nil, they always are.
+	MembersComplete func() bool
 	// MinTenure is how long a primary stays in place before it may be moved, see placement.DefaultMinTenure. With 0 it is never
 	// moved.
 	MinTenure time.Duration
--- /dev/null
+++ b/pkg/group/members_test.go
@@ -0,0 +1,50 @@
+package group
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sycamorehub/sycamorehub/pkg/platform"
+)
+
+// only returns the service as a platform lists it that has the entries of the named members only.
+func (f *fakeService) only(names ...string) platform.Service {
+	s := f.service()
+	s.Members = slices.DeleteFunc(s.Members, func(m platform.Member) bool { return !slices.Contains(names, m.Name) })
+	return s
+}
+
+// promoterOf returns a Watcher of the first promoter, on a platform that ignores fences, which has been assigned the given members.
+func (f *fakeService) promoterOf(t *testing.T, svc platform.Service, o Options) *Watcher {
+	o.Self, o.FencesIgnored, o.PromotionTime = "w0", true, 4*takeoverTime
+	if o.Control == nil {
+		o.Control = overridingControl{fakeControl{f, "w0"}}
+	}
+	w := f.watcherWithOptions(t, RankWatchOnly, o)
+	w.SetServices([]Assignment{{Service: svc}})
+	return w
+}
+
+// Guards against a VM that starts while the members' entries come back after an outage of the platform, and promotes the only
+// replica that it finds, by a majority of one, over the healthy primary.
+func TestNoPromotionWhileMembersMayBeMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeService(t, 3)
+		var complete atomic.Bool
+		w := f.promoterOf(t, f.only("m1"), Options{MembersComplete: complete.Load})
+		time.Sleep(5 * time.Second)
+		w.SetServices([]Assignment{{Service: f.service()}})
+		complete.Store(true)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, map[platform.Term]string{1: "m0"}, f.history())
+
+		f.update(func() { f.member("m0").down = true })
+		time.Sleep(detectionTime + 2*takeoverTime)
+		require.Len(t, f.history(), 2, "the primary is lost and the members are known")
+	})
+}
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -188,7 +188,8 @@
 func (v *View) encodeHeartbeat(to platform.VM) ([]byte, error) {
 	s := v.options.State()
 	h := wire.Heartbeat{Draining: v.unavailable(), ConfigVersion: s.ConfigVersion, ConfigHash: s.ConfigHash,
-		Owned: s.OwnedMembers, Waiting: s.QueuedUnits, Lists: s.ListsHash, ListVersion: s.ListVersion, TakesDelta: true}
+		Owned: s.OwnedMembers, Waiting: s.QueuedUnits, Lists: s.ListsHash, ListVersion: s.ListVersion,
+		ListComplete: s.ListComplete, TakesDelta: true}
 	v.mu.Lock()
 	sections, history := v.sectionsFor(to)
 	h.Digest = sections.digest
@@ -252,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	s := State{h.ConfigVersion, h.ConfigHash, h.Owned, h.Waiting, h.Lists, h.ListVersion}
+	s := State{h.ConfigVersion, h.ConfigHash, h.Owned, h.Waiting, h.Lists, h.ListVersion, h.ListComplete}
 	v.mu.Lock()
 	p := v.peers[from.Name]
 	changed := p == nil || p.gone || p.unreachable || p.lastHeard.IsZero() || p.draining != h.Draining
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -71,6 +71,7 @@
 	QueuedUnits   uint64 // number of units queued at the owned members
 	ListsHash     uint32 // hash of the platform's lists as last read; a peer whose hash differs gets or reads them again
 	ListVersion   uint64 // version of the service list, 0 if the platform gives none
+	ListComplete  bool   // the service list lacks no member that runs, see directory.Directory.ListComplete
 }
 
 // Options configure a View.
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -36,11 +36,12 @@
 	TakesDelta    bool // the sender understands Delta; encoded as the presence of Delta, which older versions don't send
 	Delta         Delta
 	ListVersion   uint64 // version of the service list that Lists covers, 0 for none; only with TakesDelta
+	ListComplete  bool   // the service list lacks no member that runs; only with TakesDelta
 }
 
 const (
-	heartbeatFields = 9 // without Delta and ListVersion, which came with later versions
-	laterFields     = 2
+	heartbeatFields = 9 // without Delta, ListVersion and ListComplete, which came with later versions
+	laterFields     = 3
 	encodedTrue     = 1
 )
 
@@ -63,6 +64,7 @@
 	if h.TakesDelta {
 		e.delta(&h.Delta)
 		e.uint(h.ListVersion)
+		e.boolean(h.ListComplete)
 	}
 	return e.buf.Bytes(), e.err
 }
@@ -115,6 +117,9 @@
 	if d.r.Len() > 0 {
 		h.ListVersion = d.uint()
 	}
+	if d.r.Len() > 0 {
+		h.ListComplete = d.uint() != 0
+	}
 	return h, d.end()
 }
 
