Group: what is known of a service outlives a change of its list

Cause: SetServices made the watch of a service anew when its members changed, and the term, the positions, the freshness and the times since when members have been leaving went with it. Majorities were counted over the new list alone.

Change: a watch continues from the one before. A member that is listed no more counts in majorities while it answers, gets no work and is never promoted. A silent one counts in no majority; with sync_replicas above 0 it is still one of the members of which a promoter needs all but that many, until the others are seen to hold all that the primary had (quorum.Attempt.Absent).

Evidence: with a watch made anew, TestKnowledgeOutlivesAChangeOfTheList and TestMembersThatAreNotListedCount fail; without the polls of members that answer the second fails in "all answer, and the last one receives nothing"; without the rule for silent ones in "two are silent and may hold writes that the last lacks". TestMemberThatIsGoneIsForgotten guards against the opposite.

--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -131,10 +131,16 @@
 		ID: fmt.Sprintf("%s/%016x", s.watcher.opts.Self, rand.Uint64()),
 	}
 	target := s.betterRegion()
+	a.SyncReplicas = s.syncReplicas()
 	for _, m := range s.membersByPreference() {
+		if !m.counts() {
+			if a.SyncReplicas == 0 {
+				continue
+			}
+			a.Absent = append(a.Absent, m.info.Name)
+		}
 		a.Members = append(a.Members, m.info.Name)
-		a.SyncReplicas = max(a.SyncReplicas, m.info.SyncReplicas)
-		if m.leavingLong(time.Now()) {
+		if m.unlisted || m.leavingLong(time.Now()) {
 			a.Barred = append(a.Barred, m.info.Name)
 		}
 		if m.leaving() || reason == ReasonPlacement && m.info.Region != target {
--- a/pkg/group/confirm.go
+++ b/pkg/group/confirm.go
@@ -102,7 +102,7 @@
 			n++
 		}
 	}
-	return s.term, s.primary != nil && n >= quorum.Majority(len(s.members))
+	return s.term, s.primary != nil && n >= s.majority()
 }
 
 // statusAnswer is the outcome of one member's status request.
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sycamorehub/sycamorehub/pkg/platform"
-	"github.com/sycamorehub/sycamorehub/pkg/quorum"
 )
 
 // Times that decide when this VM promotes a member.
@@ -100,7 +99,7 @@
 			answering++
 		}
 	}
-	majority := quorum.Majority(len(s.members))
+	majority := s.majority()
 	p := s.primary
 	switch {
 	case p == nil:
--- a/pkg/group/fresh.go
+++ b/pkg/group/fresh.go
@@ -61,7 +61,7 @@
 			n++
 		}
 	}
-	return n >= quorum.Majority(len(s.members))
+	return n >= s.majority()
 }
 
 // thinSamples drops every other sample of the older half.
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -82,8 +82,9 @@
 	return w
 }
 
-// SetServices replaces the set of watched services. A service whose members stay the same keeps its view. A service
-// that is no longer listed is dropped: its waiters get an error, and its requests have ended when SetServices returns.
+// SetServices replaces the set of watched services. A service keeps what is known of it and of its members. If these change, its
+// waiters get an error, and its requests have ended when SetServices returns. So have those of a service that is no longer listed,
+// which is dropped.
 func (w *Watcher) SetServices(list []Assignment) {
 	w.mu.Lock()
 	if w.closed {
@@ -94,11 +95,11 @@
 	w.services = make(map[string]*service, len(list))
 	for _, a := range list {
 		s := old[a.Service.Name]
-		if s != nil && s.sameMembers(a.Service) {
+		if s != nil && s.sameMembers(a.Service) && !s.dropsUnlisted(time.Now()) {
 			s.updateAssignment(a)
 			delete(old, a.Service.Name)
 		} else {
-			s = newService(w, a)
+			s = newService(w, a, s)
 		}
 		w.services[a.Service.Name] = s
 	}
@@ -157,7 +158,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, m := range s.members {
+	for _, m := range s.listed() {
 		if m.info.Name == member {
 			return m.view(time.Now()), true
 		}
@@ -196,7 +197,7 @@
 
 // sameMembers reports whether the service lists the same members at the same control addresses.
 func (s *service) sameMembers(o platform.Service) bool {
-	return slices.EqualFunc(s.members, o.Members, func(m *member, p platform.Member) bool {
+	return slices.EqualFunc(s.listed(), o.Members, func(m *member, p platform.Member) bool {
 		return m.info.Name == p.Name && m.info.ControlAddr == p.ControlAddr
 	})
 }
--- a/pkg/group/relay.go
+++ b/pkg/group/relay.go
@@ -93,8 +93,8 @@
 		return RelayedView{}
 	}
 	now := time.Now()
-	r := RelayedView{Leading: true, Version: s.statusVersion, Members: make([]RelayedMember, len(s.members))}
-	for i, m := range s.members {
+	r := RelayedView{Leading: true, Version: s.statusVersion, Members: make([]RelayedMember, s.listedCount)}
+	for i, m := range s.listed() {
 		relayed := &r.Members[i]
 		relayed.Heard, relayed.Fresh, relayed.Failures = ageInUnits(now, m.lastHeard), ageInUnits(now, m.freshAt), m.failures
 		if !m.known {
@@ -136,7 +136,7 @@
 			n++
 		}
 	}
-	return s.healthy() && !s.primary.leaving() && n >= quorum.Majority(len(s.members))
+	return s.healthy() && !s.primary.leaving() && n >= s.majority()
 }
 
 // coveredByRelay reports whether m needs no poll because the answers of the primary's owner tell its state. The first
@@ -224,7 +224,7 @@
 	now := time.Now()
 	before := s.requestTimes()
 	changed := false
-	for i, m := range s.members {
+	for i, m := range s.listed() {
 		changed = s.recordRelayedMember(m, &r.Members[i], sent) || changed
 	}
 	s.relay.seenVersion = r.Version
@@ -266,10 +266,10 @@
 // answers while this VM's own polls of the primary fail, since the owner's answers must not hide that.
 func (s *service) acceptsRelayedView(from string, r RelayedView) bool {
 	vm, ok := s.primaryOwner()
-	if !r.Leading || !ok || vm.Name != from || !s.relayAllowed() || len(r.Members) != len(s.members) {
+	if !r.Leading || !ok || vm.Name != from || !s.relayAllowed() || len(r.Members) != s.listedCount {
 		return false
 	}
-	for i, m := range s.members {
+	for i, m := range s.listed() {
 		relayed := &r.Members[i]
 		complete := relayed.Sent == 0 || relayed.Status != nil || r.Version == s.relay.seenVersion
 		if !complete || relayed.Status != nil && relayed.Status.Member != m.info.Name {
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -26,7 +26,8 @@
 
 	mu            sync.Mutex
 	promoterRank  int
-	members       []*member // the slice and the names in it never change
+	members       []*member // first those that the platform lists; the slice and the names in it never change
+	listedCount   int       // see listed; never changes
 	owners        []platform.VM
 	term          platform.Term
 	primary       *member // nil if there is none
@@ -48,6 +49,8 @@
 // member is the state of one member; service.mu guards it.
 type member struct {
 	info             platform.Member
+	unlisted         bool          // the platform lists the member no more
+	unlistedAt       time.Time     // when that was noticed, or zero
 	wake             chan struct{} // capacity 1: call nextPoll again
 	known            bool          // status has been received
 	status           platform.Status
@@ -136,8 +139,9 @@
 	return m.known && now.Sub(m.lastDirectAnswer) <= d
 }
 
-// newService returns a service whose polls have started.
-func newService(w *Watcher, a Assignment) *service {
+// newService returns a service whose polls have started. It continues from before, an earlier watch of the service, unless that is
+// nil.
+func newService(w *Watcher, a Assignment, before *service) *service {
 	s := &service{watcher: w, name: a.Service.Name, promoterRank: a.PromoterRank, owners: a.Owners, viewChanged: make(chan struct{})}
 	s.gridOffset = rand.N(idlePollInterval/pollGridStep) * pollGridStep
 	s.statusVersion, s.relay.wake = rand.Uint32()|1, make(chan struct{}, 1)
@@ -149,12 +153,19 @@
 	for _, info := range a.Service.Members {
 		s.members = append(s.members, &member{info: info, lastHeard: now, wake: make(chan struct{}, 1)})
 	}
+	s.listedCount = len(s.members)
+	if before != nil {
+		s.continueFrom(before, now)
+	}
 	for _, m := range s.members {
 		s.wg.Go(func() { s.pollLoop(m) })
 	}
 	if w.opts.Relay != nil {
 		s.wg.Go(s.relayLoop)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startClaim()
 	return s
 }
 
@@ -172,7 +183,7 @@
 	if owner, _ := s.primaryOwner(); owner.Name != before.Name {
 		s.primaryOwnerChanged()
 	}
-	for i, m := range s.members {
+	for i, m := range s.listed() {
 		m.info = a.Service.Members[i]
 	}
 }
@@ -320,11 +331,11 @@
 	}
 	above := 0
 	for _, m := range s.members {
-		if m.known && quorum.RejectsTerm(m.status, s.term) {
+		if m.known && m.counts() && quorum.RejectsTerm(m.status, s.term) {
 			above++
 		}
 	}
-	if s.primary == nil || above >= quorum.Majority(len(s.members)) {
+	if s.primary == nil || above >= s.majority() {
 		s.primary, s.term = nil, highest
 	}
 }
--- a/pkg/group/view.go
+++ b/pkg/group/view.go
@@ -46,11 +46,11 @@
 func (s *service) view(now time.Time) View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := View{Service: s.name, Term: s.term, Members: make([]MemberView, len(s.members))}
+	v := View{Service: s.name, Term: s.term, Members: make([]MemberView, s.listedCount)}
 	if s.primary != nil {
 		v.Primary = s.primary.info.Name
 	}
-	for i, m := range s.members {
+	for i, m := range s.listed() {
 		v.Members[i] = m.view(now)
 	}
 	return v
--- a/pkg/group/wait.go
+++ b/pkg/group/wait.go
@@ -97,14 +97,16 @@
 	if len(s.ackWaiters) == 0 {
 		return
 	}
-	reports := make([]platform.Status, len(s.members))
-	for i, m := range s.members {
-		reports[i] = m.bestReport
+	reports := make([]platform.Status, 0, len(s.members))
+	for _, m := range s.members {
+		if m.counts() {
+			reports = append(reports, m.bestReport)
+		}
 	}
 	kept := s.ackWaiters[:0]
 	for _, waiter := range s.ackWaiters {
 		switch {
-		case quorum.Acknowledged(reports, len(s.members), waiter.term, waiter.position):
+		case quorum.Acknowledged(reports, len(reports), waiter.term, waiter.position):
 			waiter.done <- nil
 		case s.termReplaced(waiter.term):
 			waiter.done <- errkind.New(errkind.RequestOutcomeUnknown, "the primary of term %d of service %q was replaced before a majority "+
@@ -125,7 +127,7 @@
 			n++
 		}
 	}
-	return n >= quorum.Majority(len(s.members))
+	return n >= s.majority()
 }
 
 // neededPoll returns the kind of poll that the current waiters need from m.
@@ -247,5 +249,5 @@
 			n++
 		}
 	}
-	return s.primary != nil && n >= quorum.Majority(len(s.members))
+	return s.primary != nil && n >= s.majority()
 }
--- a/pkg/quorum/promoter.go
+++ b/pkg/quorum/promoter.go
@@ -67,6 +67,9 @@
 	// Barred lists members that are never promoted, such as those that have been leaving for long. They are fenced and count in
 	// the majority.
 	Barred []string
+	// Absent lists those members that the platform lists no more and that do not answer. No majority needs them, but they may hold
+	// acknowledged writes.
+	Absent []string
 	// SyncReplicas is the number of replicas that hold each acknowledged write beside the primary, on a platform that does not
 	// wait for a majority. Any set that leaves out only so many members holds all acknowledged writes.
 	SyncReplicas int
@@ -78,7 +81,7 @@
 	if k := p.attempt.SyncReplicas; k > 0 && n < members-k {
 		return false
 	}
-	return p.rules.isMajority(n, members)
+	return p.rules.isMajority(n, members-len(p.attempt.Absent))
 }
 
 // Promoter is the state machine of one attempt. It promotes at most one member and repeats the request only to that
