Group: an attempt without a known primary reads the list first

The list is read again after a pause of the process, but an attempt did not wait for that.

Change: an attempt without a known primary, and each one where replicas hold the acknowledged writes, reads the list first, and ends before it fences if the members differ. While the list cannot be read, an attempt without a known primary waits for 3 s; a lost primary that the VM has seen is replaced at once. With sync_replicas 0 a known primary that is lost is replaced without the read, as before.

Evidence: TestPrimaryThatIsNotInAnOutdatedList fails without the read (a replica of the healthy primary is promoted).

--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -102,6 +102,21 @@
 	return nil
 }
 
+// readMembers returns the function that reads a service's members again before a promotion, nil where each list is complete and the
+// members themselves refuse outdated promoters.
+func readMembers(k *kernel.Kernel) func(ctx context.Context, service string) ([]platform.Member, bool) {
+	if kernel.MustLookup[Edges](k, nameEdges).MissingGrace == 0 {
+		return nil
+	}
+	dir := kernel.MustLookup[*directory.Directory](k, nameDirectory)
+	return func(ctx context.Context, service string) ([]platform.Member, bool) {
+		began := time.Now()
+		dir.ReadNow(ctx)
+		svc, _ := dir.Service(service)
+		return svc.Members, dir.ReadSince(began)
+	}
+}
+
 func newWatcher(k *kernel.Kernel) (any, error) {
 	return watcher{group.New(group.Options{
 		Control: kernel.MustLookup[Platform](k, namePlatform),
@@ -117,6 +132,7 @@
 		},
 		PromotionTime:   kernel.MustLookup[Edges](k, nameEdges).Guarantees.Promotion,
 		MembersComplete: kernel.MustLookup[*directory.Directory](k, nameDirectory).Complete,
+		ReadMembers:     readMembers(k),
 		FencesIgnored:   kernel.MustLookup[Edges](k, nameEdges).Guarantees.FencesIgnored,
 		MinTenure:       time.Duration(kernel.MustLookup[*settings.Settings](k, nameSettings).Placement.Stand),
 		QuiesceWrites: func(ctx context.Context, service, member string) (func(), bool) {
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -25,6 +25,11 @@
 	// maxAnswerAge bounds the age of the answers that an attempt decides on where fences are ignored: another promoter may act
 	// in the meantime. It leaves room for one call that fails.
 	maxAnswerAge = callTimeout + fenceGrace
+	// listReadTimeout bounds the read of the platform's list before an attempt. It exceeds the time that a slow platform takes.
+	listReadTimeout = 500 * time.Millisecond
+	// maxUnconfirmed is how long an attempt to replace a primary that this VM has never seen waits until the platform's list can be
+	// read. It exceeds the time within which entries are back after an outage of the platform.
+	maxUnconfirmed = 3 * time.Second
 	// drainTimeout bounds the wait until the writes in progress at a primary have ended and a replica has caught up.
 	drainTimeout = 500 * time.Millisecond
 )
@@ -43,7 +48,11 @@
 	defer cancel()
 	var chosen string
 	end := notTried
-	a, ok := s.prepareAttempt(reason)
+	var a quorum.Attempt
+	ok := s.confirmMembers(ctx, reason)
+	if ok {
+		a, ok = s.prepareAttempt(reason)
+	}
 	if ok && reason == ReasonPlacement {
 		var release func()
 		release, ok = s.startMove(ctx, a)
@@ -112,6 +121,38 @@
 	}
 }
 
+// confirmMembers reads the platform's list again before an attempt that an outdated list would mislead: the primary may be a member
+// that this VM does not know, and where replicas hold each acknowledged write, so may be one that holds the last of them. It
+// reports whether the members are still those of this watch. While the list cannot be read, what is known of a lost primary holds.
+func (s *service) confirmMembers(ctx context.Context, reason Reason) bool {
+	s.mu.Lock()
+	needed := s.watcher.opts.ReadMembers != nil && (reason == ReasonNoPrimary || s.syncReplicas() > 0)
+	s.mu.Unlock()
+	if !needed {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
+	defer cancel()
+	members, ok := s.watcher.opts.ReadMembers(ctx, s.name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, now := &s.election, time.Now()
+	switch {
+	case ok:
+		e.listUnreadSince = time.Time{}
+	case e.listUnreadSince.IsZero():
+		e.listUnreadSince = now
+	}
+	if ok && s.sameMembers(platform.Service{Members: members}) ||
+		!ok && (reason != ReasonNoPrimary || now.Sub(e.listUnreadSince) >= maxUnconfirmed) {
+		return true
+	}
+	e.pause(now)
+	s.log().WithFields(logrus.Fields{"reason": reason, "read": ok}).
+		Info("promotion attempt abandoned: the service's members are not confirmed by the platform's list")
+	return false
+}
+
 // prepareAttempt reads all statuses again and describes the attempt. It reports false if the reason no longer holds,
 // or if another promoter has set a fence meanwhile.
 func (s *service) prepareAttempt(reason Reason) (quorum.Attempt, bool) {
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -34,6 +34,8 @@
 	attempting     bool          // an attempt is in progress
 	failedAttempts int           // since the last promotion by this VM
 	backoffUntil   time.Time     // no attempt starts before
+	// listUnreadSince is when the read of the platform's list before an attempt first failed since the last one that did not, or zero.
+	listUnreadSince time.Time
 }
 
 // considerPromotion starts an attempt when a promotion is needed, it is this VM's turn, and no other promoter is
@@ -54,6 +56,9 @@
 			Info("reason for a promotion changed")
 		e.reason, e.since = reason, now
 	}
+	if reason == "" {
+		e.listUnreadSince = time.Time{}
+	}
 	if e.highestFence > 0 && highest > e.highestFence {
 		e.since = now.Add(otherPromoterDelay)
 	}
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -43,6 +43,9 @@
 	// MembersComplete reports whether the members of the assignments are all members of their services. Before that no majority
 	// counts, and this VM promotes no member. If it is nil, they always are.
 	MembersComplete func() bool
+	// ReadMembers reads the platform's list again and returns the members of a service, and false if it cannot be read. If it is
+	// nil, attempts go by the members of the assignment.
+	ReadMembers func(ctx context.Context, service string) ([]platform.Member, bool)
 	// MinTenure is how long a primary stays in place before it may be moved, see placement.DefaultMinTenure. With 0 it is never
 	// moved.
 	MinTenure time.Duration
--- a/pkg/group/members_test.go
+++ b/pkg/group/members_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"context"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -48,3 +49,22 @@
 		require.Len(t, f.history(), 2, "the primary is lost and the members are known")
 	})
 }
+
+// Guards against a VM that was frozen or cut off and replaces a primary which its outdated list lacks. While the list cannot be read,
+// a service must not stay without a primary.
+func TestPrimaryThatIsNotInAnOutdatedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeService(t, 4)
+		f.update(func() { f.member("m3").down = true })
+		readable := true
+		f.promoterOf(t, f.only("m1", "m2", "m3"), Options{ReadMembers: func(context.Context, string) ([]platform.Member, bool) {
+			return f.only("m0", "m1", "m2").Members, readable
+		}})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, map[platform.Term]string{1: "m0"}, f.history())
+
+		readable = false
+		time.Sleep(maxUnconfirmed + detectionTime + 2*takeoverTime)
+		require.Len(t, f.history(), 2)
+	})
+}
