Group: requests to promote that were given up are settled

With sync_replicas 1, acknowledged writes that the promoted member lacks are gone.

Cause: an attempt that was given up counted as one without effect. Its requests may be carried out up to 12 s later, with a choice among the logs of its time.

Change: once the service has a primary that need not be replaced, the VM confirms it with a new fence token, which makes the platform refuse its earlier requests. A VM that has promoted the primary itself first checks that its token is still accepted, and cedes the turn if not; a primary that another VM may have promoted is left alone for 3 s. No attempt begins while such a call is under way.

--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -95,7 +95,7 @@
 	}
 	switch {
 	case f.Primary != "":
-		e.failedAttempts = 0
+		e.failedAttempts, s.settlement.promoted = 0, f.Primary
 	case end == undecided:
 		e.pause(time.Now())
 	case end == tried:
--- a/pkg/group/election.go
+++ b/pkg/group/election.go
@@ -70,6 +70,10 @@
 	if reason == "" || now.Before(e.backoffUntil) || now.Sub(e.since) < s.promotionDelay(reason) {
 		return
 	}
+	if s.settlement.cancel != nil { // it ends before the attempt, which must know what it has requested
+		s.settlement.cancel()
+		return
+	}
 	e.attempting = true
 	s.spawn(func() { s.attemptPromotion(reason) })
 }
--- a/pkg/group/relay.go
+++ b/pkg/group/relay.go
@@ -239,6 +239,7 @@
 		s.notifyStatusChange()
 	}
 	s.considerPromotion(now)
+	s.considerSettlement(now)
 	for _, m := range s.members {
 		s.repairReplica(m, now)
 	}
--- a/pkg/group/service.go
+++ b/pkg/group/service.go
@@ -42,6 +42,7 @@
 	placement     placement.Rule
 	claiming      bool          // claimLoop runs
 	claimedTerm   platform.Term // term of the primary that this VM has claimed the right to replace, or 0
+	settlement    settlement
 	relay         relayState
 	statusVersion uint32 // of the members' statuses, never 0; starts at random, so that a restarted primary's owner repeats no version
 }
@@ -249,6 +250,7 @@
 		}
 	}
 	s.considerPromotion(now)
+	s.considerSettlement(now)
 	s.repairReplica(m, now)
 }
 
@@ -286,6 +288,7 @@
 	before := s.primary
 	s.derivePrimary()
 	if s.primary != before {
+		s.settlement.primarySince = time.Now()
 		s.primaryOwnerChanged()
 		s.startClaim()
 		s.log().WithFields(logrus.Fields{"primary": s.primary.name(), "before": before.name(), "term": s.term}).
--- a/pkg/group/unlisted.go
+++ b/pkg/group/unlisted.go
@@ -65,6 +65,7 @@
 	s.samples = slices.Clone(before.samples)
 	s.lastTraffic, s.lastWrite = before.lastTraffic, before.lastWrite
 	s.placement, s.claimedTerm = before.placement, before.claimedTerm
+	s.settlement.primarySince, s.settlement.promoted = before.settlement.primarySince, before.settlement.promoted
 	s.election = before.election
 	if s.election.attempting { // it ends with the other watch, and what it has requested may still take effect
 		s.election.attempting, s.election.backoffUntil = false, now.Add(otherPromoterDelay)
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -136,6 +136,16 @@
 	PreparePromotion(ctx context.Context, service string, term Term) error
 }
 
+// PromotionSettler is implemented by a MemberControl whose requests to promote may be carried out long after they were given up.
+type PromotionSettler interface {
+	// UnsettledPromotions reports whether earlier requests of this VM to promote members of the service may still be carried out.
+	UnsettledPromotions(service string) bool
+	// SettlePromotions has the platform refuse these requests from now on. It confirms the member, the primary of the given term, in its
+	// place. Its errors wrap ErrUnavailable or ErrOutcomeUnknown, after which it is to be called again, or ErrPromotionRefused: another
+	// VM promotes a member.
+	SettlePromotions(ctx context.Context, primary Member, term Term) error
+}
+
 // Guarantees states what the endpoints of an installation ensure by themselves. The owners of members check what they do not
 // ensure, at the cost of requests to a majority of the members.
 type Guarantees struct {
