Metrics: members that are not known or not listed, requests that were settled

An operator could not tell a service that waits for its list, or for a member that is not listed, from one whose promotions fail. No effect on what is decided.

--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/sycamorehub/sycamorehub/pkg/configsync"
+	"github.com/sycamorehub/sycamorehub/pkg/directory"
 	"github.com/sycamorehub/sycamorehub/pkg/frontend"
 	"github.com/sycamorehub/sycamorehub/pkg/kernel"
 	"github.com/sycamorehub/sycamorehub/pkg/membership"
@@ -55,6 +56,10 @@
 	descPeerSuspect       = desc("peer_suspect_total", "Connections to other daemons that became suspect.")
 	descPromotions        = desc("promotions_total", "Primaries promoted by this daemon.")
 	descPrimaryMoves      = desc("primary_moves_total", "Planned moves of primaries between regions by this daemon.", "result")
+	descUnconfirmed       = desc("promotions_unconfirmed_total", "Promotion attempts ended since the platform's list did not confirm the members.")
+	descSettlements       = desc("promotions_settled_total", "Calls by which earlier requests to promote lost their effect.")
+	descListComplete      = desc("service_list_complete", "1 once the members of all services are known since the start, else 0.")
+	descUnlistedMembers   = desc("unlisted_members", "Members that are watched although the platform lists them no more.")
 	descFences            = desc("fences_total", "Fence requests sent by this daemon.")
 	descMemberPolls       = desc("member_polls_total", "Status requests sent to members.")
 	descWatchRelays       = desc("watch_relays_total", "Views of services asked from the lead of their watchers.")
@@ -127,6 +132,14 @@
 	counter(descPromotions, watcherStats.Promotions)
 	counter(descPrimaryMoves, watcherStats.Moves, "done")
 	counter(descPrimaryMoves, watcherStats.MovesAbandoned, "given-up")
+	counter(descUnconfirmed, watcherStats.Unconfirmed)
+	counter(descSettlements, watcherStats.Settlements)
+	gauge(descUnlistedMembers, float64(kernel.MustLookup[watcher](c.k, nameWatcher).UnlistedMembers()))
+	complete := 0.0
+	if kernel.MustLookup[*directory.Directory](c.k, nameDirectory).Complete() {
+		complete = 1
+	}
+	gauge(descListComplete, complete)
 	counter(descFences, watcherStats.Fences)
 	counter(descMemberPolls, watcherStats.Polls+watcherStats.LongPolls)
 	counter(descWatchRelays, watcherStats.Relays)
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -148,6 +148,7 @@
 		return true
 	}
 	e.pause(now)
+	s.watcher.stats.unconfirmed.Add(1)
 	s.log().WithFields(logrus.Fields{"reason": reason, "read": ok}).
 		Info("promotion attempt abandoned: the service's members are not confirmed by the platform's list")
 	return false
--- a/pkg/group/settle.go
+++ b/pkg/group/settle.go
@@ -51,6 +51,7 @@
 		switch {
 		case err == nil:
 			st.failed = 0
+			s.watcher.stats.settlements.Add(1)
 		case errors.Is(err, platform.ErrPromotionRefused):
 			st.notBefore = time.Now().Add(otherPromoterTurn)
 		default:
--- a/pkg/group/stats.go
+++ b/pkg/group/stats.go
@@ -44,6 +44,8 @@
 	Relays                       uint64        // requests to owners of primaries for their view
 	Promotions, Attempts         uint64        // Attempts excludes those abandoned before fencing
 	Moves, MovesAbandoned        uint64        // of primaries between regions; Promotions includes Moves
+	Unconfirmed                  uint64        // attempts ended since the platform's list did not confirm the members
+	Settlements                  uint64        // calls that settled earlier requests to promote
 	FailoverTime                 time.Duration // sum of Failover.Duration over all promotions
 	Bytes                        uint64        // estimate of control traffic, both directions
 }
@@ -53,6 +55,7 @@
 	polls, longPolls, pollErrors          atomic.Uint64
 	fences, follows, promotions, attempts atomic.Uint64
 	calls, relays, moves, movesAbandoned  atomic.Uint64
+	unconfirmed, settlements              atomic.Uint64
 	failoverTime                          atomic.Int64
 }
 
@@ -65,10 +68,22 @@
 		Fences: c.fences.Load(), Follows: c.follows.Load(),
 		Promotions: c.promotions.Load(), Attempts: c.attempts.Load(),
 		Moves: c.moves.Load(), MovesAbandoned: c.movesAbandoned.Load(),
+		Unconfirmed: c.unconfirmed.Load(), Settlements: c.settlements.Load(),
 		FailoverTime: time.Duration(c.failoverTime.Load()), Bytes: c.calls.Load() * exchangeBytes,
 	}
 }
 
+// UnlistedMembers returns how many members are watched although the platform lists them no more.
+func (w *Watcher) UnlistedMembers() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, s := range w.services {
+		n += len(s.members) - s.listedCount
+	}
+	return n
+}
+
 // WaitingUnits returns how many units wait in this Watcher for a majority to acknowledge a write, and how many wait for a
 // member to apply a position.
 func (w *Watcher) WaitingUnits() (acknowledgements, replicas int) {
