--- a/pkg/connpool/team_test.go
+++ b/pkg/connpool/team_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,13 +24,13 @@
 type teamConn struct {
 	fakeConn
 	team   string
-	mixed  *int
+	mixed  *atomic.Int64
 	served func(team string)
 }
 
 func (c *teamConn) Run(ctx context.Context, u *unit.Unit, sink unit.Sink) unit.Result {
 	if u.Team != c.team {
-		*c.mixed++
+		c.mixed.Add(1)
 	}
 	time.Sleep(5 * time.Millisecond)
 	c.served(u.Team)
@@ -39,8 +41,14 @@
 // as often as all others together, and returns the number of dials and of units for each team.
 func playTeams(t *testing.T, teams, maxConnections int) (dials int, units map[string]int) {
 	m := &fakeMember{limit: maxConnections}
-	mixed := 0
+	var mixed atomic.Int64
+	var mu sync.Mutex // of units
 	units = map[string]int{}
+	served := func(team string) {
+		mu.Lock()
+		defer mu.Unlock()
+		units[team]++
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := New(Options{Member: "m", MaxConnections: maxConnections, Log: log, Dial: func(ctx context.Context, team string) (Conn, error) {
@@ -48,7 +56,7 @@
 		if _, err := m.dial(ctx); err != nil {
 			return nil, err
 		}
-		return &teamConn{fakeConn: fakeConn{m: m}, team: team, mixed: &mixed, served: func(team string) { units[team]++ }}, nil
+		return &teamConn{fakeConn: fakeConn{m: m}, team: team, mixed: &mixed, served: served}, nil
 	}})
 	random := rand.New(rand.NewPCG(1, uint64(teams)))
 	slots := make(chan struct{}, 4)
@@ -76,7 +84,7 @@
 	for range cap(slots) {
 		slots <- struct{}{}
 	}
-	require.Zero(t, mixed, "a member must not run a unit for another team than it was told")
+	require.Zero(t, mixed.Load(), "a member must not run a unit for another team than it was told")
 	require.LessOrEqual(t, m.connections(), maxConnections)
 	return m.dials, units
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,14 +148,13 @@
 }
 
 // versionedLister counts the reads of a list whose version grows with each read.
-type versionedLister struct{ reads int }
+type versionedLister struct{ reads atomic.Int64 }
 
 func (l *versionedLister) Services(context.Context) ([]platform.Service, error) {
 	panic("not versioned")
 }
 func (l *versionedLister) ServicesAt(context.Context) ([]platform.Service, uint64, error) {
-	l.reads++
-	return listOf("a"), uint64(l.reads), nil
+	return listOf("a"), uint64(l.reads.Add(1)), nil
 }
 
 // A VM that is no reader must not read the list while its peers confirm it, and must read it once they do not.
@@ -167,9 +167,9 @@
 			time.Sleep(time.Second)
 			d.Confirm(d.ListHash(), uint64(second+2))
 		}
-		require.Equal(t, 1, lister.reads)
+		require.EqualValues(t, 1, lister.reads.Load())
 		time.Sleep(2 * 22500 * time.Millisecond) // the longest interval of a VM that is no reader, and one that was left out before
-		require.Greater(t, lister.reads, 1)
+		require.Greater(t, lister.reads.Load(), int64(1))
 		require.NoError(t, d.Stop(t.Context()))
 	})
 }
--- a/pkg/group/members_test.go
+++ b/pkg/group/members_test.go
@@ -56,14 +56,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeService(t, 4)
 		f.update(func() { f.member("m3").down = true })
-		readable := true
+		var readable atomic.Bool
+		readable.Store(true)
 		f.promoterOf(t, f.only("m1", "m2", "m3"), Options{ReadMembers: func(context.Context, string) ([]platform.Member, bool) {
-			return f.only("m0", "m1", "m2").Members, readable
+			return f.only("m0", "m1", "m2").Members, readable.Load()
 		}})
 		time.Sleep(10 * time.Second)
 		require.Equal(t, map[platform.Term]string{1: "m0"}, f.history())
 
-		readable = false
+		readable.Store(false)
 		time.Sleep(maxUnconfirmed + detectionTime + 2*takeoverTime)
 		require.Len(t, f.history(), 2)
 	})
