--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,15 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build check fmt-check vet lint known-red test timing demo bench
+# Packages whose goroutines share state; the others are pure decisions, or are run by the tests of these.
+RACE := $(addprefix ./pkg/,claim configsync connpool directory frontend group membership membudget owner peer ring router session teamlimit) ./platform/adapter
+
+.PHONY: build check fmt-check vet lint known-red race test timing demo bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-check: fmt-check vet lint known-red test
+check: fmt-check vet lint known-red race test
 
 fmt-check:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofmt would change: $$out"; exit 1; }
@@ -30,6 +33,9 @@
 		git grep -q "^func $$t(t \*testing.T)" -- '*_test.go' || { echo "KNOWN-RED.txt names $$t, which does not exist"; exit 1; }; \
 	done
 
+race:
+	$(GO) test -race -count=1 -p 2 -timeout $(TEST_TIMEOUT) $(SKIP) $(RACE)
+
 # Few packages and tests at a time: the fault tests start many processes. Checks of durations that failed are printed.
 test:
 	@log=$$(mktemp); SYCAMOREHUB_TIMING_LOG=$$log \
--- a/pkg/group/fake_test.go
+++ b/pkg/group/fake_test.go
@@ -208,6 +208,16 @@
 	return nil
 }
 
+// announcePromotion calls onPromote, which a test may set at any time.
+func (f *fakeService) announcePromotion(vm string) {
+	f.mu.Lock()
+	announce := f.onPromote
+	f.mu.Unlock()
+	if announce != nil {
+		announce(vm)
+	}
+}
+
 // history returns the primary of each term so far.
 func (f *fakeService) history() map[platform.Term]string {
 	f.mu.Lock()
@@ -305,9 +315,7 @@
 
 // Promote implements platform.MemberControl.
 func (c fakeControl) Promote(ctx context.Context, info platform.Member, t platform.Term, promoterID string) (platform.Status, error) {
-	if c.f.onPromote != nil {
-		c.f.onPromote(c.vm)
-	}
+	c.f.announcePromotion(c.vm)
 	return c.call(ctx, info, func(m *fakeMember) error {
 		s := &m.status
 		if t != s.FencedTerm || promoterID != s.FencedBy || s.LostState {
--- a/pkg/group/override_test.go
+++ b/pkg/group/override_test.go
@@ -29,9 +29,7 @@
 
 // Promote implements platform.MemberControl. It returns once the member is the primary.
 func (c overridingControl) Promote(ctx context.Context, info platform.Member, _ platform.Term, _ string) (platform.Status, error) {
-	if c.f.onPromote != nil {
-		c.f.onPromote(c.vm)
-	}
+	c.f.announcePromotion(c.vm)
 	c.f.requests.Go(func() {
 		time.Sleep(takeoverTime)
 		c.f.update(func() { c.f.takeOver(info.Name) })
@@ -89,7 +87,7 @@
 					f.write("m0")
 				}
 				requested := make(chan struct{}, 10)
-				f.onPromote = func(string) { requested <- struct{}{} }
+				f.update(func() { f.onPromote = func(string) { requested <- struct{}{} } })
 				<-requested
 				f.update(func() { f.member("m2").down = true })
 				time.Sleep(healed)
--- a/pkg/group/settle_test.go
+++ b/pkg/group/settle_test.go
@@ -46,8 +46,10 @@
 		require.EqualValues(t, 2, c.calls.Load())
 		require.Equal(t, "m0", c.primary.Load())
 
-		f.onPromote = func(string) { c.open.Store(true) }
-		f.update(func() { f.member("m0").down = true })
+		f.update(func() {
+			f.onPromote = func(string) { c.open.Store(true) }
+			f.member("m0").down = true
+		})
 		time.Sleep(detectionTime + 2*takeoverTime)
 		require.Equal(t, f.history()[2], c.primary.Load(), "this VM has promoted the primary itself")
 		require.EqualValues(t, 3, c.calls.Load())
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 
 // fakeWatcher is a Watcher with a view that the test sets.
 type fakeWatcher struct {
+	mu         sync.Mutex // guards view.Primary, which tests change while the owner watches it
 	view       group.View
 	majority   bool
 	appliedErr error
@@ -47,8 +49,17 @@
 	return w.view.Member(member)
 }
 func (w *fakeWatcher) Primary(string) (string, platform.Term, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return w.view.Primary, w.view.Term, true
 }
+
+// replacePrimary makes another member the primary. The owner may watch it meanwhile.
+func (w *fakeWatcher) replacePrimary() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.view.Primary = "m2"
+}
 func (w *fakeWatcher) ViewChanged(string) <-chan struct{}          { return w.changed }
 func (w *fakeWatcher) PollPrimary(string)                          { w.checks++ }
 func (w *fakeWatcher) MajorityAnswered(string, time.Duration) bool { return w.majority }
@@ -122,9 +133,9 @@
 		"paused, write":          {func(_ *fakeWatcher, listsCurrent *bool) { *listsCurrent = false }, true, 0, errkind.NoMember, 0},
 		"paused, read":           {func(_ *fakeWatcher, listsCurrent *bool) { *listsCurrent = false }, false, 0, errkind.NoMember, 0},
 		"paused, in transaction": {func(_ *fakeWatcher, listsCurrent *bool) { *listsCurrent = false }, true, 7, errkind.Kind{}, 1},
-		"replaced, write":        {func(w *fakeWatcher, _ *bool) { w.view.Primary = "m2" }, true, 0, errkind.NoPrimary, 0},
+		"replaced, write":        {func(w *fakeWatcher, _ *bool) { w.replacePrimary() }, true, 0, errkind.NoPrimary, 0},
 		"no majority, write":     {func(w *fakeWatcher, _ *bool) { w.majority = false }, true, 0, errkind.NoPrimary, 0},
-		"replaced, read":         {func(w *fakeWatcher, _ *bool) { w.view.Primary = "m2" }, false, 0, errkind.Kind{}, 1},
+		"replaced, read":         {func(w *fakeWatcher, _ *bool) { w.replacePrimary() }, false, 0, errkind.Kind{}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, p, listsCurrent := newFakeWatcher("m1"), &fakePool{}, true
--- a/pkg/teamlimit/fleet_test.go
+++ b/pkg/teamlimit/fleet_test.go
@@ -275,7 +275,10 @@
 				f := newFleet(t, vms, limited("large", 120, 120), limited("small", 3, 3))
 				defer f.stopAll()
 				random := rand.New(rand.NewPCG(seed, 1))
-				f.delay = func() time.Duration { return time.Duration(random.ExpFloat64() * float64(6*time.Millisecond)) }
+				delays := rand.New(rand.NewPCG(seed, 99)) // guarded by f.mu
+				f.mu.Lock()
+				f.delay = func() time.Duration { return time.Duration(delays.ExpFloat64() * float64(6*time.Millisecond)) }
+				f.mu.Unlock()
 				var wg sync.WaitGroup
 				for i, team := range []string{"large", "small"} {
 					choose := rand.New(rand.NewPCG(seed, uint64(i)+2))
