Group: earlier requests are settled only where replicas hold acknowledged writes

Cause: each confirmation counts as an act of a promoter. Those of two VMs, or one between others' promotions, are turns within the lease.

--- a/pkg/group/settle.go
+++ b/pkg/group/settle.go
@@ -28,12 +28,13 @@
 }
 
 // considerSettlement starts a call that settles earlier requests to promote, if there are any and the service has a primary that need
-// not be replaced. The caller holds s.mu.
+// not be replaced. It does so only where replicas hold acknowledged writes, which a late promotion would lose: each call is one of a
+// promoter, and those of several VMs may look like turns. The caller holds s.mu.
 func (s *service) considerSettlement(now time.Time) {
 	control, ok := s.watcher.opts.Control.(platform.PromotionSettler)
 	st, p := &s.settlement, s.primary
 	if !ok || st.cancel != nil || s.stopped || s.election.attempting || now.Before(st.notBefore) ||
-		p == nil || p.unlisted || p.failures > 0 || s.election.reason != "" || !control.UnsettledPromotions(s.name) {
+		s.syncReplicas() == 0 || p == nil || p.unlisted || p.failures > 0 || s.election.reason != "" || !control.UnsettledPromotions(s.name) {
 		return
 	}
 	if p.info.Name != st.promoted && now.Sub(st.primarySince) < otherPromoterTurn {
--- a/pkg/group/settle_test.go
+++ b/pkg/group/settle_test.go
@@ -36,6 +36,9 @@
 func TestRequestsThatWereGivenUpAreSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeService(t, 3)
+		for _, m := range f.members {
+			m.info.SyncReplicas = 1
+		}
 		c := &settlingControl{overridingControl: overridingControl{fakeControl{f, "w0"}}}
 		f.promoterOf(t, f.service(), Options{Control: c})
 		time.Sleep(time.Second)
